--- /dev/null
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -0,0 +1,62 @@
+package dewlane.cli;
+
+import dewlane.core.Settings;
+import dewlane.core.Settings.Team;
+import dewlane.core.Settings.Tuning;
+import dewlane.io.Endpoints;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The settings file that a deployment gives each controller, and the operators' own beside it. */
+public record DeployFile(Settings settings, Endpoints endpoints) {
+
+    /**
+     * Reads and checks both files.
+     *
+     * @param operators the operators' own settings, or null for the defaults
+     */
+    public static DeployFile read(String file, String operators) throws SettingsException {
+        Tuning tuning = operators == null ? Tuning.defaults() : tuning(TomlFile.read(operators));
+        TomlFile top = TomlFile.read(file);
+        Map<String, String> peers = new LinkedHashMap<>();
+        for (TomlFile peer : top.tables("known")) {
+            peer.text("area");
+            peers.put(peer.text("node_name"), peer.address("address"));
+        }
+        TomlFile services = top.table("services");
+        Endpoints endpoints = new Endpoints(top.address("serve_on"), top.address("peer_bind"), Map.copyOf(peers),
+                services.address("cloud"), services.address("state"));
+        top.text("area");
+        TomlFile all = top.table("settings");
+        all.count("initial_size", 1);
+        all.number("time_bound_ms", 0);
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (TomlFile t : all.tables("teams")) {
+            teams.put(t.text("name"), new Team(t.text("name"), t.number("cpus", 0, 0), t.number("gpus", 0, 0),
+                    t.number("cpus_max", 0, 0), t.number("gpus_max", 0, 0)));
+        }
+        for (TomlFile objective : all.tables("objectives")) {
+            objective.text("kind");
+        }
+        TomlFile workers = all.table("workers");
+        TomlFile state = all.table("state");
+        TomlFile cloud = all.table("cloud");
+        TomlFile resources = all.table("resources");
+        resources.positive("cpu_share");
+        resources.positive("ram_mb");
+        resources.count("max_sockets", 1);
+        Settings settings = new Settings(top.text("node_name"), endpoints.peerNames(), Map.copyOf(teams),
+                all.texts("zones"), workers.positive("report_s"), workers.positive("lease_s"),
+                workers.positive("cancel_s"), state.positive("rps"), state.positive("write_rps"),
+                (int) (1024 * state.positive("value_kb")), state.count("txn_ops", 8),
+                cloud.positive("rps"), cloud.number("list_lag_s", 0), tuning);
+        return new DeployFile(settings, endpoints);
+    }
+
+    private static Tuning tuning(TomlFile in) throws SettingsException {
+        Tuning d = Tuning.defaults();
+        return new Tuning((long) (1000 * in.number("member_ttl_s", 1, d.memberTtlMs() / 1000.0)),
+                in.number("silent_s", 5, d.silentS()), in.number("idle_s", 1, d.idleS()),
+                in.number("boot_patience", 1, d.bootPatience()));
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -0,0 +1,90 @@
+package dewlane.cli;
+
+import dewlane.core.Attempt;
+import dewlane.core.Controller;
+import dewlane.core.Effect;
+import dewlane.core.Input;
+import dewlane.core.Job;
+import dewlane.core.Keys;
+import dewlane.core.MachineType;
+import dewlane.core.Priority;
+import dewlane.core.Report;
+import dewlane.core.Settings;
+import dewlane.core.Txn;
+import dewlane.core.Value;
+import dewlane.io.Endpoints;
+import dewlane.io.Node;
+import dewlane.wire.StateWire;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+
+/** Loads what a controller needs at start and on its ordinary path, so that the build can archive the classes. */
+final class WarmUp {
+    private static final String TYPE = "any";
+
+    private WarmUp() { }
+
+    static void run() {
+        Main.configureLog();
+        try {
+            core();
+            sockets();
+        } catch (IOException | InterruptedException | SettingsException e) {
+            System.err.println("the warm-up broke off: " + e);
+        }
+        System.exit(0);
+    }
+
+    private static Settings settings() {
+        return new Settings("self", List.of(), Map.of("team", new Settings.Team("team", 1, 0, 2, 0)), List.of("zone"),
+                3, 30, 60, 100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults());
+    }
+
+    /** A controller that joins, takes a job and launches it, with every answer of the state service made up. */
+    private static void core() throws IOException {
+        Controller controller = new Controller(settings(), 1);
+        Job job = new Job("wk-1", "lot", "team", Priority.HIGH, 2, 1, 0, 1, "image", 1, List.of(), null,
+                false, false, true, 10, 0, 0, 0, 0);
+        Value map = new Value.ClusterMap(1, List.of(new Value.Member("self", 1)));
+        Value slice = new Value.Slice("self", 0, 2, 0, new BitSet(), List.of(new Attempt(1, 1, "m", 1, 1, 1)));
+        List<Input> inputs = List.of(new Input.Tick(), new Input.LeaseGranted(1), new Input.StateListed(List.of(), 1, 1),
+                new Input.CatalogRead(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
+                new Input.Tick(), new Input.TxnAnswer(1, Txn.Status.COMMITTED, 2),
+                new Input.Changes(List.of(new Input.Change(Keys.MAP, map, 2)), 2), new Input.Tick(),
+                new Input.Submit(1, job.id(), job, null), new Input.TxnAnswer(2, Txn.Status.COMMITTED, 3),
+                new Input.Changes(List.of(new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, 0), 3),
+                        new Input.Change(Keys.slice(job.id(), 0), slice, 3)), 3),
+                new Input.ReportReceived(2, new Report("m", "h:1", TYPE, "zone", true, 1, 1, 0, Double.NaN, List.of())),
+                new Input.Tick(), new Input.Poll(3, job.id()), new Input.ValueRead(1, true, null, 0), new Input.Tick());
+        long now = 0;
+        for (Input input : inputs) {
+            now += 200;
+            for (Effect effect : controller.handle(now, now, input)) {
+                if (effect instanceof Effect.SendTxn e) {
+                    StateWire.txn(e.txn());
+                }
+            }
+        }
+        StateWire.events("{\"ledger\":1,\"log\":[]}".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+    }
+
+    /** A controller on free loopback ports that takes itself for all the other services. */
+    private static void sockets() throws IOException, InterruptedException, SettingsException {
+        String own = "127.0.0.1:" + freePort();
+        String peer = "127.0.0.1:" + freePort();
+        Node node = new Node(settings(), new Endpoints(own, peer, Map.of("other", peer), own, own), 1);
+        node.start();
+        Thread.sleep(700);
+        TomlFile.read("deploy/service.toml");
+        node.stop();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Context.java
@@ -0,0 +1,60 @@
+package dewlane.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** What the actors of one controller share: its settings, the time of the message at hand, and the effects so far. */
+public final class Context {
+    private final Settings settings;
+    private final SplittableRandom random;
+    private List<Effect> effects = new ArrayList<>();
+    private long now;
+    private long wall;
+
+    public Context(Settings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+    }
+
+    void at(long nowMs, long wallMs) {
+        now = nowMs;
+        wall = wallMs;
+    }
+
+    /** Steady time in milliseconds. */
+    public long now() {
+        return now;
+    }
+
+    /** Time of day in milliseconds. */
+    public long wall() {
+        return wall;
+    }
+
+    public Settings settings() {
+        return settings;
+    }
+
+    public SplittableRandom random() {
+        return random;
+    }
+
+    public void emit(Effect effect) {
+        effects.add(effect);
+    }
+
+    public void info(String text) {
+        effects.add(new Effect.Log(Effect.Level.INFO, text));
+    }
+
+    public void debug(String text) {
+        effects.add(new Effect.Log(Effect.Level.DEBUG, text));
+    }
+
+    List<Effect> takeEffects() {
+        List<Effect> taken = effects;
+        effects = new ArrayList<>();
+        return taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Controller.java
@@ -0,0 +1,223 @@
+package dewlane.core;
+
+import dewlane.core.PeerStatus.PeerMachine;
+import dewlane.core.Replica.JobEntry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The core of one controller: takes messages with the time of their arrival and gives back what is to be done. It
+ * reads no clock and no socket, so the same messages at the same times always have the same effects.
+ */
+public final class Controller {
+    private static final long PASS_MS = 50;
+    private static final long SLOW_MS = 1000;
+
+    private final Context context;
+    private final Replica replica = new Replica();
+    private final Release release = new Release();
+    private final Journaller journaller;
+    private final Membership membership;
+    private final Machines machines;
+    private final Attempts attempts;
+    private final Placement placement;
+    private final Health health;
+    private final Fleet fleet;
+    private final Users users;
+    private final Set<String> tracked = new HashSet<>();
+    private boolean listing;
+    private long listedAt;
+    private boolean loaded;
+    private long loadedFrom;
+    private boolean dirty;
+    private long passedAt = Long.MIN_VALUE / 2;
+    private long slowAt = Long.MIN_VALUE / 2;
+
+    public Controller(Settings settings, long seed) {
+        context = new Context(settings, seed);
+        journaller = new Journaller(context);
+        membership = new Membership(context, replica, journaller);
+        machines = new Machines(context, replica);
+        Quota quota = new Quota(settings, replica, machines);
+        Dealer dealer = new Dealer(context, replica, machines);
+        attempts = new Attempts(context, replica, machines, membership);
+        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer, attempts);
+        health = new Health(context, replica, machines, membership, journaller, attempts);
+        fleet = new Fleet(context, replica, machines, membership, journaller, placement, quota);
+        users = new Users(context, replica, machines, membership, journaller, dealer);
+    }
+
+    /** Handles one message that arrived at the given steady time and time of day. */
+    public List<Effect> handle(long nowMs, long wallMs, Input input) {
+        context.at(nowMs, wallMs);
+        take(input);
+        if (dirty && nowMs - passedAt >= PASS_MS) {
+            passedAt = nowMs;
+            dirty = false;
+            placement.pass();
+            attempts.command();
+        }
+        return context.takeEffects();
+    }
+
+    /** True once this controller can decide about jobs. */
+    public boolean ready() {
+        return loaded && membership.joined() && !machines.types().isEmpty();
+    }
+
+    private void take(Input input) {
+        if (input instanceof Input.Tick) {
+            tick();
+        } else if (input instanceof Input.ReportReceived in) {
+            attempts.report(in.id(), in.report());
+            dirty = true;
+        } else if (input instanceof Input.CommandAnswered in) {
+            attempts.answered(in);
+            dirty = true;
+        } else if (input instanceof Input.Changes in) {
+            changes(in);
+        } else if (input instanceof Input.TxnAnswer in) {
+            if (in.status() == Txn.Status.COMMITTED || in.status() == Txn.Status.CONFLICT) {
+                membership.contact();
+            }
+            journaller.answered(in);
+            dirty = true;
+        } else if (input instanceof Input.Submit in) {
+            users.submit(in);
+        } else if (input instanceof Input.Poll in) {
+            users.poll(in);
+        } else if (input instanceof Input.Abort in) {
+            users.abort(in);
+        } else if (input instanceof Input.ValueRead in) {
+            if (in.known()) {
+                membership.contact();
+            }
+            users.valueRead(in);
+        } else if (input instanceof Input.LeaseGranted in) {
+            if (in.lease() != 0) {
+                membership.contact();
+            }
+            membership.granted(in.lease());
+        } else if (input instanceof Input.LeaseTouched in) {
+            if (in.renewed() || in.ended()) {
+                membership.contact();
+            }
+            membership.touched(in);
+        } else if (input instanceof Input.StateListed in) {
+            loaded(in);
+        } else if (input instanceof Input.ListFailed) {
+            listing = false;
+        } else if (input instanceof Input.WatchFailed in) {
+            watchFailed(in);
+        } else if (input instanceof Input.CatalogRead in) {
+            machines.catalog(in.types());
+            dirty = true;
+        } else if (input instanceof Input.MachinesListed in) {
+            fleet.listed(in.machines());
+        } else if (input instanceof Input.Rented in) {
+            fleet.rented(in);
+        } else if (input instanceof Input.Deleted in) {
+            fleet.deleted(in);
+        } else if (input instanceof Input.PeerHeard in) {
+            machines.peer(in.status());
+        }
+    }
+
+    private void tick() {
+        if (!loaded && !listing && context.now() - listedAt > 500) {
+            listing = true;
+            listedAt = context.now();
+            context.emit(new Effect.ListState());
+        }
+        membership.tick(loaded && replica.revision() >= loadedFrom);
+        journaller.pump();
+        dirty = true;
+        if (context.now() - slowAt >= SLOW_MS) {
+            slowAt = context.now();
+            if (replica.map() != null) {
+                journaller.shareAmong(replica.map().members().size());
+            }
+            health.tick();
+            fleet.tick();
+            tellPeers();
+        }
+    }
+
+    private void loaded(Input.StateListed in) {
+        membership.contact();
+        listing = false;
+        loaded = true;
+        // Changes between the listing's first and last page are only complete once the watch has passed them.
+        loadedFrom = in.latest();
+        replica.load(in.rows(), in.revision());
+        track();
+        context.info("read " + replica.jobs().size() + " jobs from the state service at revision " + in.revision());
+        context.emit(new Effect.Watch(in.revision()));
+    }
+
+    private void changes(Input.Changes in) {
+        if (!loaded) {
+            return;
+        }
+        membership.contact();
+        long epoch = replica.map() == null ? 0 : replica.map().epoch();
+        for (Input.Change change : in.changes()) {
+            replica.apply(change);
+        }
+        replica.advance(in.revision());
+        track();
+        if (replica.map() != null && replica.map().epoch() != epoch) {
+            context.info("map " + replica.map().epoch() + ": " + replica.map().members());
+        }
+        if (!in.changes().isEmpty()) {
+            dirty = true;
+        }
+        context.emit(new Effect.Watch(in.revision()));
+    }
+
+    private void watchFailed(Input.WatchFailed in) {
+        if (in.tooOld()) {
+            context.info("the watch fell behind, reading the state anew");
+            loaded = false;
+        } else if (loaded) {
+            context.emit(new Effect.Watch(replica.revision()));
+        }
+    }
+
+    /** Passes jobs and their results through the release rules. The wire has no source lists, so they are empty. */
+    private void track() {
+        List<JobEntry> fresh = new ArrayList<>();
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && tracked.add(job.id)) {
+                fresh.add(job);
+            }
+            if (job.aborted()) {
+                release.finish(job.id, Release.Result.FAILED);
+            }
+        }
+        fresh.sort((a, b) -> Long.compare(a.job().acceptedMs(), b.job().acceptedMs()));
+        fresh.forEach(job -> release.add(job.id, List.of()));
+        tracked.removeIf(id -> {
+            if (replica.job(id) != null && replica.job(id).job() != null) {
+                return false;
+            }
+            release.finish(id, Release.Result.DONE);
+            release.forget(id);
+            return true;
+        });
+    }
+
+    private void tellPeers() {
+        if (!membership.joined()) {
+            return;
+        }
+        List<PeerMachine> usable = new ArrayList<>();
+        for (Machine m : placement.usable()) {
+            usable.add(new PeerMachine(m.name, m.address, m.type, m.zone, m.spot, m.session));
+        }
+        context.emit(new Effect.TellPeers(new PeerStatus(context.settings().node(), replica.map().epoch(),
+                membership.silence() < 2000, usable)));
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -0,0 +1,418 @@
+package dewlane.core;
+
+import dewlane.core.Replica.JobEntry;
+import dewlane.core.Replica.SliceEntry;
+import dewlane.core.Value.MachineFate;
+import dewlane.core.Value.MachineRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The leader's care for the fleet: rents for the demand in sight, returns idle machines, deletes condemned ones and
+ * records which are proven gone.
+ *
+ * <p>Launches are conditional on a machine having no record, so once a return is recorded and the replica has reached
+ * it, nothing more can be launched there, and the machine is either idle for good or the return is called off.
+ */
+final class Fleet {
+    private static final long LIST_MS = 2000;
+    private static final long DELETE_RETRY_MS = 6000;
+    private static final long SCARCE_MS = 20_000;
+    private static final long KEEP_GONE_MS = 60_000;
+
+    private record Rental(String type, String zone, boolean spot, int count, long at) { }
+
+    private record Place(String type, String zone, boolean spot) { }
+
+    /** Room on a machine that is up or on its way. */
+    private static final class Bin {
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        double cpus;
+        double gpus;
+        double memory;
+
+        Bin(MachineType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.cpus = type.cpus();
+            this.gpus = type.gpus();
+            this.memory = type.memoryGb();
+        }
+
+        boolean take(Job job) {
+            if (!job.allows(type.name(), zone, spot) || cpus < job.cpus() - 1e-9 || gpus < job.gpus() - 1e-9
+                    || memory < job.memoryGb() - 1e-9) {
+                return false;
+            }
+            cpus -= job.cpus();
+            gpus -= job.gpus();
+            memory -= job.memoryGb();
+            return true;
+        }
+    }
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final Journaller journaller;
+    private final Placement placement;
+    private final Quota quota;
+    private final Map<String, ListedMachine> listed = new LinkedHashMap<>();
+    private final Map<String, Long> listedAt = new HashMap<>();
+    private final Map<String, Rental> rentals = new HashMap<>();
+    /** Rented machines that have not been seen up yet. */
+    private final Map<String, Rental> booting = new LinkedHashMap<>();
+    private final Map<Place, Long> scarceUntil = new HashMap<>();
+    private final Map<String, Long> deletingAt = new HashMap<>();
+    private final Map<String, Long> goneAt = new HashMap<>();
+    private final Set<String> writing = new HashSet<>();
+    private final Set<String> up = new HashSet<>();
+    private long catalogAt = Long.MIN_VALUE;
+    private long listAskedAt = Long.MIN_VALUE;
+    private long ledSince;
+
+    Fleet(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+          Placement placement, Quota quota) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.journaller = journaller;
+        this.placement = placement;
+        this.quota = quota;
+    }
+
+    /** Names on the list that are up, for the leader's peers to learn their addresses. */
+    void tick() {
+        long now = context.now();
+        long catalogEvery = machines.types().isEmpty() ? 1500 : 60_000;
+        if (catalogAt == Long.MIN_VALUE || now - catalogAt > catalogEvery) {
+            catalogAt = now;
+            context.emit(new Effect.ReadCatalog());
+        }
+        if (!membership.leads()) {
+            ledSince = 0;
+            listed.clear();
+            booting.clear();
+            rentals.clear();
+            return;
+        }
+        if (ledSince == 0) {
+            ledSince = now;
+            context.info("leading the fleet");
+        }
+        if (listAskedAt == Long.MIN_VALUE || now - listAskedAt >= LIST_MS) {
+            listAskedAt = now;
+            context.emit(new Effect.ListMachines());
+        }
+        if (membership.silence() > 2000 || machines.types().isEmpty()) {
+            return;
+        }
+        noteUp();
+        carryOut();
+        condemnLate();
+        // A new leader first waits for a list, which shows what its predecessor rented.
+        if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000) {
+            Map<JobEntry, Double> unmet = unmet();
+            rent(unmet);
+            if (unmet.isEmpty()) {
+                returnIdle();
+            }
+        }
+    }
+
+    void listed(List<ListedMachine> list) {
+        for (ListedMachine l : list) {
+            if (machines.isGone(l.name())) {
+                continue;
+            }
+            listed.put(l.name(), l);
+            listedAt.put(l.name(), context.now());
+            if (l.state() == ListedMachine.State.FAILED) {
+                record(l.name(), MachineFate.GONE, "failed");
+            } else if (l.state() == ListedMachine.State.RUNNING) {
+                machines.learn(l.name(), l.address(), l.type(), l.zone(), l.spot());
+            } else if (!booting.containsKey(l.name()) && !up.contains(l.name())) {
+                booting.put(l.name(), new Rental(l.type(), l.zone(), l.spot(), 1,
+                        context.now() - (long) (l.ageS() * 1000)));
+            }
+        }
+        listed.keySet().removeIf(name -> context.now() - listedAt.get(name) > 20_000);
+    }
+
+    private void noteUp() {
+        for (Machine m : machines.all()) {
+            if (m.heardAt != 0 || !m.live.isEmpty()) {
+                up.add(m.name);
+            }
+        }
+        for (Value.Member member : replica.map().members()) {
+            PeerStatus peer = machines.peer(member.name());
+            if (peer != null) {
+                peer.machines().forEach(p -> up.add(p.name()));
+            }
+        }
+        up.removeIf(machines::isGone);
+        booting.keySet().removeIf(name -> up.contains(name) || machines.isGone(name));
+        rentals.values().removeIf(r -> context.now() - r.at > 30_000);
+    }
+
+    /** Acts on the machines' records. */
+    private void carryOut() {
+        List<String> delete = new ArrayList<>();
+        for (Map.Entry<String, Replica.MachineEntry> e : replica.machines().entrySet()) {
+            String name = e.getKey();
+            Machine m = machines.get(name);
+            boolean idle = m == null || m.live.isEmpty();
+            switch (e.getValue().record().fate()) {
+                case RETURN -> {
+                    if (idle) {
+                        delete.add(name);
+                    } else if (!deletingAt.containsKey(name)) {
+                        context.debug("machine " + name + " got a task after all, not returned");
+                        drop(name, e.getValue().version());
+                    }
+                }
+                case DELETE -> delete.add(name);
+                case GONE -> {
+                    goneAt.putIfAbsent(name, context.now());
+                    if (listed.containsKey(name) && context.now() - goneAt.get(name) < KEEP_GONE_MS / 2) {
+                        delete.add(name);
+                    }
+                    if (idle && context.now() - goneAt.get(name) > KEEP_GONE_MS) {
+                        drop(name, e.getValue().version());
+                    }
+                }
+            }
+        }
+        delete.removeIf(name -> context.now() - deletingAt.getOrDefault(name, -1_000_000L) < DELETE_RETRY_MS);
+        if (!delete.isEmpty()) {
+            List<String> some = List.copyOf(delete.subList(0, Math.min(100, delete.size())));
+            some.forEach(name -> deletingAt.put(name, context.now()));
+            context.debug("deleting " + some);
+            context.emit(new Effect.Delete(some));
+        }
+    }
+
+    void deleted(Input.Deleted in) {
+        for (String name : in.machines()) {
+            if (in.gone()) {
+                listed.remove(name);
+                booting.remove(name);
+                record(name, MachineFate.GONE, "deleted");
+            }
+        }
+    }
+
+    void rented(Input.Rented in) {
+        Rental rental = rentals.get(in.request());
+        if (rental == null) {
+            return;
+        }
+        Place place = new Place(rental.type, rental.zone, rental.spot);
+        switch (in.status()) {
+            case RENTED -> {
+                rentals.remove(in.request());
+                in.machines().forEach(name -> booting.put(name, rental));
+                context.info("rented " + in.machines() + " " + place);
+                if (in.machines().size() < rental.count) {
+                    scarceUntil.put(place, context.now() + SCARCE_MS);
+                }
+            }
+            case NO_CAPACITY -> {
+                rentals.remove(in.request());
+                scarceUntil.put(place, context.now() + SCARCE_MS);
+                context.debug("no capacity for " + place);
+            }
+            // The request may be carried out late: the machines then show up in reports and lists.
+            case INVALID, UNKNOWN -> {
+                rentals.remove(in.request());
+                scarceUntil.put(place, context.now() + 3000);
+            }
+        }
+    }
+
+    /** Machines that did not come up in good time are charged for nothing. */
+    private void condemnLate() {
+        booting.forEach((name, rental) -> {
+            MachineType type = machines.type(rental.type);
+            double patience = type == null ? 300 : type.bootS() * context.settings().tuning().bootPatience();
+            if (context.now() - rental.at > patience * 1000 && !replica.machines().containsKey(name)) {
+                context.info("machine " + name + " did not come up, to be deleted");
+                record(name, MachineFate.DELETE, "never came up");
+            }
+        });
+    }
+
+    /** Tasks that neither machines that are up nor those on their way have room for, in slots for a whole machine life. */
+    private Map<JobEntry, Double> unmet() {
+        List<Bin> bins = new ArrayList<>();
+        Set<String> takes = new HashSet<>();
+        placement.usable().forEach(m -> takes.add(m.name));
+        for (Value.Member member : replica.map().members()) {
+            PeerStatus peer = machines.peer(member.name());
+            if (peer != null && !member.name().equals(context.settings().node())) {
+                peer.machines().forEach(p -> takes.add(p.name()));
+            }
+        }
+        for (String name : takes) {
+            Machine m = machines.get(name);
+            MachineType type = m == null ? null : machines.type(m.type);
+            if (type != null && !replica.machines().containsKey(name)) {
+                Bin bin = new Bin(type, m.zone, m.spot);
+                bin.cpus -= m.usedCpus;
+                bin.gpus -= m.usedGpus;
+                bin.memory -= m.usedMemory;
+                bins.add(bin);
+            }
+        }
+        booting.forEach((name, r) -> {
+            MachineType type = machines.type(r.type);
+            if (type != null && !replica.machines().containsKey(name)
+                    && context.now() - r.at < 2000 * type.bootS()) {
+                bins.add(new Bin(type, r.zone, r.spot));
+            }
+        });
+        for (Rental r : rentals.values()) {
+            MachineType type = machines.type(r.type);
+            for (int i = 0; type != null && i < r.count; i++) {
+                bins.add(new Bin(type, r.zone, r.spot));
+            }
+        }
+        Map<JobEntry, Double> unmet = new LinkedHashMap<>();
+        Map<String, double[]> more = new HashMap<>();
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() == null || job.aborted() || machines.work(job.id).faulty()) {
+                continue;
+            }
+            Job spec = job.job();
+            double[] added = more.computeIfAbsent(spec.team(), t -> new double[1]);
+            int waiting = 0;
+            for (SliceEntry s : job.slices()) {
+                waiting += s.value().count() - s.value().done().cardinality() - s.value().attempts().size();
+            }
+            int allowed = (int) Math.min(waiting, quota.room(spec) - Math.ceil(added[0] / Math.max(0.001, spec.cpus())));
+            int left = 0;
+            for (int i = 0; i < Math.min(allowed, 500); i++) {
+                boolean taken = false;
+                for (Bin bin : bins) {
+                    if (bin.take(spec)) {
+                        taken = true;
+                        break;
+                    }
+                }
+                left += taken ? 0 : 1;
+            }
+            added[0] += Math.max(0, allowed) * spec.cpus();
+            if (left > 0) {
+                // Short tasks share a slot one after the other while a machine is there.
+                unmet.put(job, left * Math.min(1, Math.max(0.1, spec.estimateS() / 40)));
+            }
+        }
+        return unmet;
+    }
+
+    private void rent(Map<JobEntry, Double> unmet) {
+        if (rentals.size() >= 3) {
+            return;
+        }
+        Map<Place, Double> wanted = new LinkedHashMap<>();
+        unmet.forEach((job, slots) -> {
+            Place place = cheapest(job.job());
+            if (place != null) {
+                wanted.merge(place, slots / machines.type(place.type).fits(job.job()), Double::sum);
+            }
+        });
+        wanted.forEach((place, amount) -> {
+            int count = (int) Math.min(50, Math.ceil(amount - 0.2));
+            if (count > 0 && rentals.size() < 3) {
+                String request = "dewlane-" + Long.toHexString(context.random().nextLong())
+                        + Long.toHexString(context.random().nextLong());
+                rentals.put(request, new Rental(place.type, place.zone, place.spot, count, context.now()));
+                context.emit(new Effect.Rent(request, place.type, place.zone, place.spot, count));
+            }
+        });
+    }
+
+    /** Where a task of the job costs least, by price, room and the time lost to boot and fetch. */
+    private Place cheapest(Job job) {
+        Place best = null;
+        double bestCost = 0;
+        for (MachineType type : machines.types()) {
+            int fits = type.fits(job);
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Place place = new Place(type.name(), zone, spot);
+                    if (fits < 1 || !job.allows(type.name(), zone, spot)
+                            || scarceUntil.getOrDefault(place, 0L) > context.now()) {
+                        continue;
+                    }
+                    double cost = type.price(spot) / fits * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
+                    if (best == null || cost < bestCost) {
+                        best = place;
+                        bestCost = cost;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private void returnIdle() {
+        long idleMs = (long) (context.settings().tuning().idleS() * 1000);
+        Machine longest = null;
+        for (String name : listed.keySet()) {
+            Machine m = machines.get(name);
+            if (m == null || !up.contains(name) || !m.live.isEmpty() || replica.machines().containsKey(name)
+                    || writing.contains(name) || context.now() - m.idleSince < idleMs) {
+                continue;
+            }
+            if (longest == null || price(m) > price(longest)) {
+                longest = m;
+            }
+        }
+        if (longest != null) {
+            context.info("returning idle machine " + longest.name);
+            record(longest.name, MachineFate.RETURN, "idle");
+        }
+    }
+
+    private double price(Machine m) {
+        MachineType type = machines.type(m.type);
+        return type == null ? 0 : type.price(m.spot) / type.cpus();
+    }
+
+    private void record(String name, MachineFate fate, String reason) {
+        Replica.MachineEntry known = replica.machines().get(name);
+        if (known != null && known.record().fate() == fate || !writing.add(name)) {
+            return;
+        }
+        Txn txn = new Txn.Builder().when(Keys.machine(name), known == null ? 0 : known.version())
+                .set(Keys.machine(name), new MachineRecord(fate, reason)).build();
+        journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> {
+            writing.remove(name);
+            if (status == Txn.Status.CONFLICT && fate == MachineFate.GONE) {
+                deletingAt.remove(name);
+            }
+        });
+    }
+
+    private void drop(String name, long version) {
+        if (writing.add(name)) {
+            Txn txn = new Txn.Builder().when(Keys.machine(name), version).delete(Keys.machine(name)).build();
+            journaller.submit(Journaller.Urgency.LATER, txn, (status, revision) -> {
+                writing.remove(name);
+                goneAt.remove(name);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Health.java
@@ -0,0 +1,76 @@
+package dewlane.core;
+
+import dewlane.core.Value.MachineFate;
+import dewlane.core.Value.MachineRecord;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Asks for the deletion of machines of this part that fell silent or are faulty. */
+final class Health {
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final Journaller journaller;
+    private final Attempts attempts;
+    private final Set<String> asking = new HashSet<>();
+
+    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+           Attempts attempts) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.journaller = journaller;
+        this.attempts = attempts;
+    }
+
+    void tick() {
+        if (!membership.joined() || membership.silence() > 2000) {
+            return;
+        }
+        int heard = 0;
+        int silent = 0;
+        long patience = (long) (context.settings().tuning().silentS() * 1000);
+        for (Machine m : machines.all()) {
+            if (attempts.owns(m.name) && (m.heardAt != 0 || !m.live.isEmpty())) {
+                if (silentFor(m) > patience) {
+                    silent++;
+                } else {
+                    heard++;
+                }
+            }
+        }
+        for (Machine m : machines.all()) {
+            if (!attempts.owns(m.name) || replica.machines().containsKey(m.name) || asking.contains(m.name)) {
+                continue;
+            }
+            if (machines.faulty(m)) {
+                condemn(m, "faulty");
+            } else if ((m.heardAt != 0 || !m.live.isEmpty()) && silentFor(m) > patience
+                    && (silent <= heard || silentFor(m) > 3 * patience)) {
+                // Where most are silent, it is more likely this controller that cannot hear.
+                condemn(m, "silent");
+            } else if (silentFor(m) > patience && m.live.stream().anyMatch(this::cancelledLong)) {
+                // A hanging machine keeps a cancelled task; only its deletion ends that in time.
+                condemn(m, "silent with a cancelled task");
+            }
+        }
+    }
+
+    private boolean cancelledLong(Machine.Live l) {
+        return l.job().aborted() && context.wall() - l.job().abortedMs() > context.settings().cancelS() * 300;
+    }
+
+    private long silentFor(Machine m) {
+        return context.now() - Math.max(m.heardAt, m.since);
+    }
+
+    private void condemn(Machine m, String reason) {
+        context.info("machine " + m.name + " is " + reason + ", to be deleted with " + m.live.size() + " tasks on it");
+        asking.add(m.name);
+        Txn txn = new Txn.Builder().when(Keys.machine(m.name), 0)
+                .set(Keys.machine(m.name), new MachineRecord(MachineFate.DELETE, reason)).build();
+        journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> asking.remove(m.name));
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Job.java
@@ -0,0 +1,34 @@
+package dewlane.core;
+
+import java.util.List;
+
+/**
+ * What a user submitted.
+ *
+ * @param types allowed machine types, empty for any
+ * @param zone the only allowed zone, or null
+ * @param deadlineS seconds from submission, 0 for none
+ * @param acceptedMs time of day at which the job was accepted
+ */
+public record Job(String id, String lot, String team, Priority priority, int tasks,
+                  double cpus, double gpus, double memoryGb, String image, double imageGb,
+                  List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
+                  double estimateS, double checkpointS, double saveS, double deadlineS,
+                  long acceptedMs) {
+
+    /** Jobs whose tasks constrain each other's places stay in one slice. */
+    public boolean placesLinked() {
+        return oneZone || spread;
+    }
+
+    public boolean allows(String type, String inZone, boolean onSpot) {
+        return (types.isEmpty() || types.contains(type))
+                && (zone == null || zone.equals(inZone))
+                && (spot || !onSpot);
+    }
+
+    public Job withAccepted(long ms) {
+        return new Job(id, lot, team, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone,
+                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, ms);
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Parts.java
@@ -0,0 +1,51 @@
+package dewlane.core;
+
+import dewlane.core.Value.ClusterMap;
+import dewlane.core.Value.Member;
+import dewlane.core.Value.Slice;
+import it.unimi.dsi.fastutil.HashCommon;
+
+/**
+ * Divides machines into parts, one per controller of the map, by rendezvous hash: a controller that leaves or joins
+ * moves only its own machines.
+ */
+public final class Parts {
+    private Parts() { }
+
+    /** The controller whose part a machine or a key belongs to, or null without a map. */
+    public static String owner(ClusterMap map, String name) {
+        if (map == null) {
+            return null;
+        }
+        String best = null;
+        long bestWeight = 0;
+        for (Member member : map.members()) {
+            long weight = HashCommon.murmurHash3(
+                    ((long) name.hashCode() << 32) ^ HashCommon.mix(member.name().hashCode()));
+            if (best == null || weight > bestWeight) {
+                best = member.name();
+                bestWeight = weight;
+            }
+        }
+        return best;
+    }
+
+    /** The controller that may launch a slice's tasks. */
+    public static String owner(ClusterMap map, String sliceKey, Slice slice) {
+        return map != null && map.has(slice.owner()) ? slice.owner() : owner(map, sliceKey);
+    }
+
+    /** The controller that has been in the map for longest. */
+    public static String leader(ClusterMap map) {
+        if (map == null) {
+            return null;
+        }
+        Member oldest = null;
+        for (Member m : map.members()) {
+            if (oldest == null || m.incarnation() < oldest.incarnation()) {
+                oldest = m;
+            }
+        }
+        return oldest == null ? null : oldest.name();
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Priority.java
@@ -0,0 +1,4 @@
+package dewlane.core;
+
+/** Priorities, lowest first, so that {@link #compareTo} ranks them. */
+public enum Priority { IDLE, STANDARD, HIGH, CRITICAL }
--- /dev/null
+++ b/src/main/java/dewlane/core/Quota.java
@@ -0,0 +1,78 @@
+package dewlane.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Keeps every team within its limit.
+ *
+ * <p>Each launch for a limited team is conditional on the team key and changes it. If the key still has the version
+ * that the replica shows, no launch for the team is missing from the replica, so the use counted there, which holds
+ * every attempt that is not proven gone, is an upper bound.
+ */
+final class Quota {
+    private final Settings settings;
+    private final Replica replica;
+    private final Machines machines;
+    /** Teams with a launch under way: until the replica has reached the revision, its count is not the latest. */
+    private final Map<String, Long> settledAt = new HashMap<>();
+
+    Quota(Settings settings, Replica replica, Machines machines) {
+        this.settings = settings;
+        this.replica = replica;
+        this.machines = machines;
+    }
+
+    private Settings.Team team(Job job) {
+        return settings.teams().get(job.team());
+    }
+
+    boolean busy(Job job) {
+        return team(job) != null && team(job).limited() && settledAt.getOrDefault(job.team(), 0L) > replica.revision();
+    }
+
+    /** How many more tasks of the job fit under the team's limit. A job of an unknown team does not start. */
+    int room(Job job) {
+        Settings.Team team = team(job);
+        if (team == null) {
+            return 0;
+        }
+        double[] use = machines.use(job.team());
+        return (int) Math.min(tasks(team.cpusMax(), use[0], job.cpus()), tasks(team.gpusMax(), use[1], job.gpus()));
+    }
+
+    private static double tasks(double max, double used, double each) {
+        return max <= 0 || each <= 0 ? Integer.MAX_VALUE : Math.max(0, Math.floor((max - used) / each + 1e-9));
+    }
+
+    /** True if the team's use stays within its guarantee with the given number of further tasks. */
+    boolean guaranteed(Job job, int more) {
+        Settings.Team team = team(job);
+        double[] use = machines.use(job.team());
+        return team != null && (team.cpus() > 0 || team.gpus() > 0)
+                && use[0] + more * job.cpus() <= team.cpus() + 1e-9
+                && use[1] + more * job.gpus() <= team.gpus() + 1e-9;
+    }
+
+    void add(Job job) {
+        double[] use = machines.use(job.team());
+        use[0] += job.cpus();
+        use[1] += job.gpus();
+    }
+
+    /** Makes a launch conditional on the count it was decided by. */
+    void guard(Txn.Builder txn, Job job) {
+        if (team(job).limited()) {
+            double[] use = machines.use(job.team());
+            txn.when(Keys.team(job.team()), replica.teamVersion(job.team()));
+            txn.set(Keys.team(job.team()), new Value.TeamRecord(use[0], use[1]));
+            settledAt.put(job.team(), Long.MAX_VALUE);
+        }
+    }
+
+    void answered(Job job, long revision) {
+        if (team(job).limited()) {
+            settledAt.put(job.team(), revision);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Replica.java
@@ -0,0 +1,273 @@
+package dewlane.core;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import dewlane.core.Value.ClusterMap;
+import dewlane.core.Value.FinalRecord;
+import dewlane.core.Value.JobRecord;
+import dewlane.core.Value.MachineRecord;
+import dewlane.core.Value.Presence;
+import dewlane.core.Value.Slice;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * What the state service held at {@link #revision()}. Only the watch changes it, in the order of the revisions, so
+ * that whatever it shows is durable and nothing in it is newer than the revision.
+ */
+public final class Replica {
+    /** A job that has a record or slices. */
+    public static final class JobEntry {
+        public final String id;
+        private JobRecord record;
+        private long version;
+        private final TreeMap<Integer, SliceEntry> slices = new TreeMap<>();
+
+        JobEntry(String id) {
+            this.id = id;
+        }
+
+        /** Null only for the moment between two changes of a listing. */
+        public Job job() {
+            return record == null ? null : record.job();
+        }
+
+        public boolean aborted() {
+            return record != null && record.aborted();
+        }
+
+        public long abortedMs() {
+            return record == null ? 0 : record.abortedMs();
+        }
+
+        public long version() {
+            return version;
+        }
+
+        public Collection<SliceEntry> slices() {
+            return slices.values();
+        }
+
+        public int done() {
+            int n = 0;
+            for (SliceEntry s : slices.values()) {
+                n += s.value.done().cardinality();
+            }
+            return n;
+        }
+
+        public int live() {
+            int n = 0;
+            for (SliceEntry s : slices.values()) {
+                n += s.value.attempts().size();
+            }
+            return n;
+        }
+
+        /** True if every task has a done mark. */
+        public boolean complete() {
+            return record != null && done() == record.job().tasks();
+        }
+
+        /** The slice that holds a task, or null. */
+        public SliceEntry sliceOf(int task) {
+            for (SliceEntry s : slices.values()) {
+                if (task >= s.value.first() && task < s.value.first() + s.value.count()) {
+                    return s;
+                }
+            }
+            return null;
+        }
+    }
+
+    /** A slice and the version of its key. */
+    public static final class SliceEntry {
+        public final int number;
+        public final String key;
+        private Slice value;
+        private long version;
+
+        SliceEntry(String job, int number) {
+            this.number = number;
+            this.key = Keys.slice(job, number);
+        }
+
+        public Slice value() {
+            return value;
+        }
+
+        public long version() {
+            return version;
+        }
+    }
+
+    /** A machine's record and the version of its key. */
+    public record MachineEntry(MachineRecord record, long version) { }
+
+    private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+    private final Map<String, MachineEntry> machines = new LinkedHashMap<>();
+    private final Map<String, Presence> presences = new LinkedHashMap<>();
+    private final Object2LongOpenHashMap<String> teams = new Object2LongOpenHashMap<>();
+    private final Cache<String, FinalRecord> finals =
+            Caffeine.newBuilder().maximumSize(20_000).executor(Runnable::run).build();
+    private ClusterMap map;
+    private long mapVersion;
+    private long revision;
+
+    /** Begins anew from a listing. Changes after {@code listedAt} must follow, whether or not the rows have them. */
+    void load(List<Input.Row> rows, long listedAt) {
+        jobs.clear();
+        machines.clear();
+        presences.clear();
+        teams.clear();
+        map = null;
+        mapVersion = 0;
+        List<Input.Row> ordered = rows.stream().sorted(Comparator.comparingLong(Input.Row::version))
+                .collect(Collectors.toList());
+        for (Input.Row row : ordered) {
+            apply(new Input.Change(row.key(), row.value(), row.version()));
+        }
+        revision = listedAt;
+    }
+
+    /** Applies one change of the watch. A change older than what is held is one that the listing already had. */
+    void apply(Input.Change change) {
+        String key = change.key();
+        if (key.startsWith(Keys.SLICES)) {
+            slice(key.substring(Keys.SLICES.length()), change);
+        } else if (key.startsWith(Keys.JOBS)) {
+            job(key.substring(Keys.JOBS.length()), change);
+        } else if (key.startsWith(Keys.FINALS)) {
+            if (change.value() != null) {
+                finals.put(key.substring(Keys.FINALS.length()), (FinalRecord) change.value());
+            }
+        } else if (key.startsWith(Keys.MACHINES)) {
+            String name = key.substring(Keys.MACHINES.length());
+            MachineEntry known = machines.get(name);
+            if (known != null && known.version > change.version()) {
+                return;
+            }
+            if (change.value() == null) {
+                machines.remove(name);
+            } else {
+                machines.put(name, new MachineEntry((MachineRecord) change.value(), change.version()));
+            }
+        } else if (key.startsWith(Keys.PRESENCE)) {
+            String name = key.substring(Keys.PRESENCE.length());
+            if (change.value() == null) {
+                presences.remove(name);
+            } else {
+                presences.put(name, (Presence) change.value());
+            }
+        } else if (key.startsWith(Keys.TEAMS)) {
+            String name = key.substring(Keys.TEAMS.length());
+            teams.put(name, Math.max(teams.getLong(name), change.value() == null ? 0 : change.version()));
+        } else if (key.equals(Keys.MAP) && change.value() != null && change.version() > mapVersion) {
+            map = (ClusterMap) change.value();
+            mapVersion = change.version();
+        }
+    }
+
+    void advance(long to) {
+        revision = Math.max(revision, to);
+    }
+
+    private void job(String id, Input.Change change) {
+        JobEntry entry = jobs.get(id);
+        if (change.value() == null) {
+            if (entry != null && entry.version < change.version()) {
+                entry.record = null;
+                entry.version = 0;
+                dropIfEmpty(entry);
+            }
+            return;
+        }
+        if (entry == null) {
+            entry = new JobEntry(id);
+            jobs.put(id, entry);
+        }
+        if (change.version() >= entry.version) {
+            entry.record = (JobRecord) change.value();
+            entry.version = change.version();
+        }
+    }
+
+    private void slice(String name, Input.Change change) {
+        int slash = name.lastIndexOf('/');
+        String id = name.substring(0, slash);
+        int number = Integer.parseInt(name.substring(slash + 1));
+        JobEntry entry = jobs.get(id);
+        if (change.value() == null) {
+            if (entry != null) {
+                SliceEntry held = entry.slices.get(number);
+                if (held != null && held.version < change.version()) {
+                    entry.slices.remove(number);
+                }
+                dropIfEmpty(entry);
+            }
+            return;
+        }
+        if (entry == null) {
+            entry = new JobEntry(id);
+            jobs.put(id, entry);
+        }
+        SliceEntry held = entry.slices.computeIfAbsent(number, n -> new SliceEntry(id, n));
+        if (change.version() >= held.version) {
+            held.value = (Slice) change.value();
+            held.version = change.version();
+        }
+    }
+
+    private void dropIfEmpty(JobEntry entry) {
+        if (entry.record == null && entry.slices.isEmpty()) {
+            jobs.remove(entry.id);
+        }
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    public ClusterMap map() {
+        return map;
+    }
+
+    public long mapVersion() {
+        return mapVersion;
+    }
+
+    public Collection<JobEntry> jobs() {
+        return jobs.values();
+    }
+
+    public JobEntry job(String id) {
+        return jobs.get(id);
+    }
+
+    /** The final state of a job if this node has seen it; absence proves nothing. */
+    public FinalRecord fin(String id) {
+        return finals.getIfPresent(id);
+    }
+
+    void rememberFinal(String id, FinalRecord fin) {
+        finals.put(id, fin);
+    }
+
+    public Map<String, MachineEntry> machines() {
+        return machines;
+    }
+
+    public Map<String, Presence> presences() {
+        return presences;
+    }
+
+    public long teamVersion(String team) {
+        return teams.getLong(team);
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Settings.java
@@ -0,0 +1,32 @@
+package dewlane.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** The deploy file and the operators' own settings, as far as the core needs them. */
+public record Settings(String node, List<String> peers, Map<String, Team> teams, List<String> zones,
+                       double reportS, double leaseS, double cancelS,
+                       double stateRps, double stateWriteRps, int valueBytes, int txnOps,
+                       double cloudRps, double listLagS, Tuning tuning) {
+
+    /** A team's guarantee and limit; a limit of 0 is none. */
+    public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {
+        public boolean limited() {
+            return cpusMax > 0 || gpusMax > 0;
+        }
+    }
+
+    /**
+     * What operators may change.
+     *
+     * @param memberTtlMs how long a silent controller stays in the map
+     * @param silentS silence after which a machine is deleted
+     * @param idleS how long a machine must be idle before it is returned
+     * @param bootPatience multiple of the boot time after which a machine that never came up is deleted
+     */
+    public record Tuning(long memberTtlMs, double silentS, double idleS, double bootPatience) {
+        public static Tuning defaults() {
+            return new Tuning(3000, 12, 60, 4);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Txn.java
@@ -0,0 +1,58 @@
+package dewlane.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A conditional write, applied as a whole or not at all. */
+public record Txn(List<Guard> when, List<Write> apply) {
+
+    /** The key must have this version; 0: it must not exist. */
+    public record Guard(String key, long version) { }
+
+    /** Sets the key, or deletes it if the value is null. A lease of 0 attaches it to none. */
+    public record Write(String key, Value value, long lease) { }
+
+    /** What the state service said, as far as it said anything. */
+    public enum Status { COMMITTED, CONFLICT, INVALID, REFUSED, UNKNOWN }
+
+    /** Collects the parts of a transaction. */
+    public static final class Builder {
+        private final List<Guard> when = new ArrayList<>();
+        private final List<Write> apply = new ArrayList<>();
+
+        public Builder when(String key, long version) {
+            Guard guard = new Guard(key, version);
+            if (!when.contains(guard)) {
+                when.add(guard);
+            }
+            return this;
+        }
+
+        public Builder set(String key, Value value) {
+            apply.add(new Write(key, value, 0));
+            return this;
+        }
+
+        public Builder setLeased(String key, Value value, long lease) {
+            apply.add(new Write(key, value, lease));
+            return this;
+        }
+
+        public Builder delete(String key) {
+            apply.add(new Write(key, null, 0));
+            return this;
+        }
+
+        public int guards() {
+            return when.size();
+        }
+
+        public int writes() {
+            return apply.size();
+        }
+
+        public Txn build() {
+            return new Txn(List.copyOf(when), List.copyOf(apply));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Users.java
@@ -0,0 +1,207 @@
+package dewlane.core;
+
+import dewlane.core.Effect.Condition;
+import dewlane.core.Effect.JobState;
+import dewlane.core.Replica.JobEntry;
+import dewlane.core.Value.FinalRecord;
+import dewlane.core.Value.JobRecord;
+import dewlane.core.Value.Slice;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Answers submissions, polls and cancellations. What is not known to be final is read from the state service before
+ * it is told, so that no controller shows a state older than one that another has shown.
+ */
+final class Users {
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final Journaller journaller;
+    private final Dealer dealer;
+    private final Long2ObjectOpenHashMap<Consumer<Input.ValueRead>> reads = new Long2ObjectOpenHashMap<>();
+    private long nextRead = 1;
+
+    Users(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+          Dealer dealer) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.journaller = journaller;
+        this.dealer = dealer;
+    }
+
+    void submit(Input.Submit in) {
+        if (in.uid() == null) {
+            answer(in.id(), 400, null, in.reason());
+            return;
+        }
+        if (replica.job(in.uid()) != null || replica.fin(in.uid()) != null || in.job() == null) {
+            // A job that is known stays known, whatever the body of a retry says.
+            lookUp(in.id(), in.uid(), () -> reject(in));
+            return;
+        }
+        String unfit = unfit(in.job());
+        if (unfit != null) {
+            lookUp(in.id(), in.uid(), () -> answer(in.id(), 422, null, unfit));
+        } else if (machines.types().isEmpty() || !membership.joined()) {
+            answer(in.id(), 503, null, "not ready, try again");
+        } else {
+            accept(in);
+        }
+    }
+
+    private void reject(Input.Submit in) {
+        if (in.job() == null) {
+            answer(in.id(), 400, null, in.reason());
+        } else {
+            accept(in);
+        }
+    }
+
+    private void accept(Input.Submit in) {
+        if (!membership.joined()) {
+            answer(in.id(), 503, null, "not ready, try again");
+            return;
+        }
+        Job job = in.job().withAccepted(context.wall());
+        List<Slice> slices = dealer.deal(job);
+        Txn.Builder txn = new Txn.Builder().when(Keys.job(job.id()), 0).when(Keys.fin(job.id()), 0)
+                .set(Keys.job(job.id()), new JobRecord(job, 0));
+        for (int i = 0; i < slices.size(); i++) {
+            txn.set(Keys.slice(job.id(), i), slices.get(i));
+        }
+        journaller.submit(Journaller.Urgency.USER, txn.build(), (status, revision) -> {
+            if (status == Txn.Status.COMMITTED) {
+                answer(in.id(), 201, new JobState(job.id(), Condition.PENDING, 0, 0), null);
+            } else {
+                lookUp(in.id(), job.id(), () -> answer(in.id(), 503, null, "try again"));
+            }
+        });
+    }
+
+    /** Why the job can never run, or null. */
+    private String unfit(Job job) {
+        Settings.Team team = context.settings().teams().get(job.team());
+        if (team == null) {
+            return "unknown team " + job.team();
+        }
+        if ((team.cpusMax() > 0 && job.cpus() > team.cpusMax() + 1e-9)
+                || (team.gpusMax() > 0 && job.gpus() > team.gpusMax() + 1e-9)) {
+            return "a task needs more than the limit of " + job.team();
+        }
+        for (MachineType t : machines.types()) {
+            boolean zoned = job.zone() == null || t.zones().contains(job.zone());
+            if ((job.types().isEmpty() || job.types().contains(t.name())) && zoned && t.fits(job) > 0) {
+                return null;
+            }
+        }
+        return machines.types().isEmpty() ? null : "a task fits no allowed machine type";
+    }
+
+    void poll(Input.Poll in) {
+        lookUp(in.id(), in.job(), () -> answer(in.id(), 404, null, "no such job"));
+    }
+
+    void abort(Input.Abort in) {
+        FinalRecord fin = replica.fin(in.job());
+        if (fin != null) {
+            answerFinal(in.id(), in.job(), fin);
+            return;
+        }
+        read(Keys.job(in.job()), read -> {
+            if (!read.known()) {
+                unavailable(in.id());
+            } else if (read.value() == null) {
+                lookUpFinal(in.id(), in.job(), () -> answer(in.id(), 404, null, "no such job"));
+            } else if (((JobRecord) read.value()).aborted()) {
+                answer(in.id(), 200, new JobState(in.job(), Condition.ABORTED, 0, 0), null);
+            } else {
+                cancel(in, ((JobRecord) read.value()).job(), read.version());
+            }
+        });
+    }
+
+    private void cancel(Input.Abort in, Job job, long version) {
+        Txn txn = new Txn.Builder().when(Keys.job(job.id()), version)
+                .set(Keys.job(job.id()), new JobRecord(job, context.wall()))
+                .set(Keys.fin(job.id()), new FinalRecord(true, context.wall())).build();
+        journaller.submit(Journaller.Urgency.SAFETY, txn, (status, revision) -> {
+            if (status == Txn.Status.COMMITTED) {
+                context.info("job " + job.id() + " cancelled");
+                answer(in.id(), 200, new JobState(job.id(), Condition.ABORTED, 0, 0), null);
+            } else {
+                // Done, or cancelled by another request or an earlier copy of this one: read which.
+                abort(in);
+            }
+        });
+    }
+
+    /** Answers with the job's state, or runs {@code unknown} if it was never accepted. */
+    private void lookUp(long id, String job, Runnable unknown) {
+        FinalRecord fin = replica.fin(job);
+        if (fin != null) {
+            answerFinal(id, job, fin);
+            return;
+        }
+        read(Keys.job(job), read -> {
+            if (!read.known()) {
+                unavailable(id);
+            } else if (read.value() == null) {
+                // The job key is gone only once the final key is there.
+                lookUpFinal(id, job, unknown);
+            } else if (((JobRecord) read.value()).aborted()) {
+                answer(id, 200, new JobState(job, Condition.ABORTED, 0, 0), null);
+            } else {
+                answer(id, 200, active(job), null);
+            }
+        });
+    }
+
+    private JobState active(String id) {
+        JobEntry job = replica.job(id);
+        int live = job == null ? 0 : job.live();
+        return new JobState(id, live > 0 ? Condition.RUNNING : Condition.PENDING, job == null ? 0 : job.done(), live);
+    }
+
+    private void lookUpFinal(long id, String job, Runnable unknown) {
+        read(Keys.fin(job), read -> {
+            if (!read.known()) {
+                unavailable(id);
+            } else if (read.value() == null) {
+                unknown.run();
+            } else {
+                replica.rememberFinal(job, (FinalRecord) read.value());
+                answerFinal(id, job, (FinalRecord) read.value());
+            }
+        });
+    }
+
+    private void answerFinal(long id, String job, FinalRecord fin) {
+        answer(id, 200, new JobState(job, fin.aborted() ? Condition.ABORTED : Condition.DONE, 0, 0), null);
+    }
+
+    private void unavailable(long id) {
+        answer(id, 503, null, "state service out of reach, try again");
+    }
+
+    private void answer(long id, int status, JobState state, String reason) {
+        context.emit(new Effect.AnswerUser(id, status, state, reason));
+    }
+
+    private void read(String key, Consumer<Input.ValueRead> then) {
+        long id = nextRead++;
+        reads.put(id, then);
+        context.emit(new Effect.ReadValue(id, key));
+    }
+
+    void valueRead(Input.ValueRead in) {
+        Consumer<Input.ValueRead> then = reads.remove(in.id());
+        if (then != null) {
+            then.accept(in);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Value.java
@@ -0,0 +1,74 @@
+package dewlane.core;
+
+import java.util.BitSet;
+import java.util.List;
+
+/** Everything dewlane keeps in the state service. Values are never changed in place. */
+public sealed interface Value {
+
+    /** A job that is not final, or is cancelled with tasks that may still be on machines. */
+    record JobRecord(Job job, long abortedMs) implements Value {
+        public boolean aborted() {
+            return abortedMs > 0;
+        }
+    }
+
+    /** The final state of a job; never deleted. */
+    record FinalRecord(boolean aborted, long atMs) implements Value { }
+
+    /**
+     * A run of a job's tasks.
+     *
+     * @param owner the controller it is dealt to; another acts once that one left the map
+     * @param launches number of the latest launch
+     * @param done tasks that are done, as offsets from {@code first}
+     */
+    record Slice(String owner, int first, int count, int launches, BitSet done, List<Attempt> attempts)
+            implements Value {
+        public boolean complete() {
+            return done.cardinality() == count;
+        }
+
+        public boolean isDone(int task) {
+            return done.get(task - first);
+        }
+
+        public Attempt attemptOf(int task) {
+            for (Attempt a : attempts) {
+                if (a.task() == task) {
+                    return a;
+                }
+            }
+            return null;
+        }
+    }
+
+    /** The live controllers. Each change has a higher epoch. */
+    record ClusterMap(long epoch, List<Member> members) implements Value {
+        public boolean has(String name) {
+            return members.stream().anyMatch(m -> m.name().equals(name));
+        }
+    }
+
+    /** A controller and the epoch at which it joined. */
+    record Member(String name, long incarnation) { }
+
+    /** Attached to a controller's lease: it is there as long as the controller renews. */
+    record Presence(long incarnation) implements Value { }
+
+    /** Changed by every launch for a team with a limit, so that launches for it are one after the other. */
+    record TeamRecord(double cpus, double gpus) implements Value { }
+
+    /** Why no launch may be written for a machine any more. */
+    record MachineRecord(MachineFate fate, String reason) implements Value { }
+
+    /** What is to become of a machine. */
+    enum MachineFate {
+        /** idle, to be returned unless a launch came first */
+        RETURN,
+        /** silent or faulty, to be deleted whatever is on it */
+        DELETE,
+        /** proven gone */
+        GONE
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Work.java
@@ -0,0 +1,37 @@
+package dewlane.core;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What this controller is doing for one job: outcomes to make durable, and the write under way. */
+final class Work {
+    /** What became of an attempt. */
+    enum Outcome { DONE, STOPPED, ERROR, REFUSED, GONE }
+
+    final Map<Machine.Key, Outcome> outcomes = new HashMap<>();
+    /** Launches in the write under way, or in one that the replica does not show yet. */
+    List<Launch> launching = List.of();
+    boolean writing;
+    /** Nothing is decided before the replica has reached this revision. */
+    long settled;
+    /** Machines on which a task of the job failed. */
+    final Set<String> failedOn = new HashSet<>();
+    int errors;
+    long notBefore;
+    long handedAt;
+
+    /** A launch that is not yet seen in the replica. */
+    record Launch(Machine machine, Attempt attempt, int slice) { }
+
+    /** A job that fails on several machines is itself at fault. */
+    boolean faulty() {
+        return failedOn.size() >= 3;
+    }
+
+    boolean busy(long revision) {
+        return writing || revision < settled;
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/io/Node.java
@@ -0,0 +1,343 @@
+package dewlane.io;
+
+import dewlane.core.Controller;
+import dewlane.core.Effect;
+import dewlane.core.Input;
+import dewlane.core.Report;
+import dewlane.core.Settings;
+import dewlane.wire.PeerWire;
+import dewlane.wire.UserWire;
+import dewlane.wire.WorkerWire;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** One controller's sockets and timers round its core. Everything runs on one I/O thread, so nothing is locked. */
+public final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final Logger CORE = LoggerFactory.getLogger(Controller.class);
+    private static final int MAX_BODY = 64 * 1024;
+    private static final long TICK_MS = 100;
+    private static final long USER_MS = 4500;
+    private static final long COMMAND_MS = 2500;
+    private static final int MAX_PENDING = 500;
+    private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
+
+    private final Settings settings;
+    private final Endpoints endpoints;
+    private final Controller controller;
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, 8192, 200, 0);
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final Map<String, HttpPool> workers = new HashMap<>();
+    private final Map<String, HttpPool> peers = new HashMap<>();
+    private final Map<String, Boolean> peerBusy = new HashMap<>();
+    private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
+    private final Deque<Effect> effects = new ArrayDeque<>();
+    private final long startedAt = System.nanoTime();
+    private Undertow server;
+    private long nextId = 1;
+    private boolean acting;
+
+    public Node(Settings settings, Endpoints endpoints, long seed) throws IOException {
+        this.settings = settings;
+        this.endpoints = endpoints;
+        this.controller = new Controller(settings, seed);
+        this.worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.THREAD_DAEMON, false)
+                .getMap());
+        this.thread = worker.getIoThread();
+        this.state = new StateClient(thread, buffers, endpoints.state(), this::accept);
+        this.cloud = new CloudClient(thread, buffers, endpoints.cloud(), this::accept);
+        endpoints.peers().forEach((name, address) -> peers.put(name, new HttpPool(thread, buffers, address, 1)));
+    }
+
+    /** Starts to listen and to take part. */
+    public void start() {
+        server = Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(buffers)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .addListener(listener(endpoints.listen(), this::serve))
+                .addListener(listener(endpoints.peerListen(), this::servePeer))
+                .build();
+        server.start();
+        LOG.info("{} listens on {} and {}", settings.node(), endpoints.listen(), endpoints.peerListen());
+        thread.execute(this::tick);
+    }
+
+    /** Stops; only tests and the warm-up do. */
+    public void stop() {
+        server.stop();
+        worker.shutdownNow();
+    }
+
+    private static Undertow.ListenerBuilder listener(String address, HttpHandler handler) {
+        int colon = address.lastIndexOf(':');
+        return new Undertow.ListenerBuilder().setType(Undertow.ListenerType.HTTP)
+                .setHost(address.substring(0, colon)).setPort(Integer.parseInt(address.substring(colon + 1)))
+                .setRootHandler(handler);
+    }
+
+    private void tick() {
+        thread.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+        accept(new Input.Tick());
+    }
+
+    /** Gives a message to the core and does what it wants done. */
+    private void accept(Input input) {
+        try {
+            effects.addAll(controller.handle((System.nanoTime() - startedAt) / 1_000_000, System.currentTimeMillis(), input));
+            if (acting) {
+                return;
+            }
+            acting = true;
+            while (!effects.isEmpty()) {
+                act(effects.poll());
+            }
+        } catch (RuntimeException e) {
+            LOG.error("a fault while handling {}", input.getClass().getSimpleName(), e);
+        } finally {
+            acting = false;
+        }
+    }
+
+    private void act(Effect effect) {
+        if (effect instanceof Effect.AnswerReport e) {
+            reply(e.id(), 200, WorkerWire.answer(e.token(), e.orders()));
+        } else if (effect instanceof Effect.RedirectReport e) {
+            reply(e.id(), 421, WorkerWire.redirect(e.node()));
+        } else if (effect instanceof Effect.RefuseReport e) {
+            reply(e.id(), 503, UserWire.error("not entitled now"));
+        } else if (effect instanceof Effect.AnswerUser e) {
+            reply(e.id(), e.status(), e.state() != null ? UserWire.state(e.state()) : UserWire.error(e.reason()));
+        } else if (effect instanceof Effect.SendTxn e) {
+            state.txn(e.id(), e.txn());
+        } else if (effect instanceof Effect.Watch e) {
+            state.watch(e.since());
+        } else if (effect instanceof Effect.ReadValue e) {
+            state.read(e.id(), e.key());
+        } else if (effect instanceof Effect.ListState) {
+            state.list();
+        } else if (effect instanceof Effect.GrantLease e) {
+            state.grant(e.ttlMs());
+        } else if (effect instanceof Effect.TouchLease e) {
+            state.touch(e.lease());
+        } else if (effect instanceof Effect.Command e) {
+            command(e);
+        } else if (effect instanceof Effect.ReadCatalog) {
+            cloud.catalog();
+        } else if (effect instanceof Effect.ListMachines) {
+            cloud.list();
+        } else if (effect instanceof Effect.Rent e) {
+            cloud.rent(e);
+        } else if (effect instanceof Effect.Delete e) {
+            cloud.delete(e.machines());
+        } else if (effect instanceof Effect.TellPeers e) {
+            tellPeers(e);
+        } else if (effect instanceof Effect.Log e) {
+            switch (e.level()) {
+                case ERROR -> CORE.error(e.text());
+                case INFO -> CORE.info(e.text());
+                case DEBUG -> CORE.debug(e.text());
+            }
+        }
+    }
+
+    private void command(Effect.Command command) {
+        boolean launches = command.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
+        HttpPool pool = workers.computeIfAbsent(command.address(), a -> new HttpPool(thread, buffers, a, 2));
+        byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
+        pool.send(Methods.POST, WorkerWire.COMMAND, body, COMMAND_MS, (status, answer) -> {
+            Report report = null;
+            try {
+                report = status == 200 || status == 409 ? WorkerWire.report(answer) : null;
+            } catch (IOException | NumberFormatException e) {
+                LOG.error("unreadable report of {}: {}", command.machine(), e.getMessage());
+            }
+            if (report == null) {
+                workers.remove(command.address());
+                pool.close();
+            }
+            accept(new Input.CommandAnswered(command.machine(), command.token(), launches, report));
+        });
+    }
+
+    private void tellPeers(Effect.TellPeers tell) {
+        try {
+            byte[] body = PeerWire.status(tell.status());
+            peers.forEach((name, pool) -> {
+                if (peerBusy.putIfAbsent(name, true) == null) {
+                    pool.send(Methods.POST, PeerWire.STATUS, body, 1500, (status, answer) -> peerBusy.remove(name));
+                }
+            });
+        } catch (IOException e) {
+            LOG.error("cannot write a status: {}", e.getMessage());
+        }
+    }
+
+    private void serve(HttpServerExchange exchange) {
+        String path = exchange.getRelativePath();
+        HttpString method = exchange.getRequestMethod();
+        if (path.equals("/healthz")) {
+            if (!method.equals(Methods.GET)) {
+                send(exchange, 405, UserWire.error("use GET"));
+            } else if (controller.ready()) {
+                send(exchange, 200, UserWire.error("none"));
+            } else {
+                send(exchange, 503, UserWire.error("not ready"));
+            }
+        } else if (path.equals(WorkerWire.REPORT)) {
+            only(exchange, Methods.POST, () -> receive(exchange, this::report));
+        } else if (path.equals(UserWire.RUNS)) {
+            only(exchange, Methods.POST, () -> receive(exchange, this::submit));
+        } else if (path.startsWith(UserWire.RUNS + "/")) {
+            job(exchange, path.substring(UserWire.RUNS.length() + 1));
+        } else {
+            send(exchange, 404, UserWire.error("no such path"));
+        }
+    }
+
+    private void job(HttpServerExchange exchange, String rest) {
+        int slash = rest.indexOf('/');
+        String id = slash < 0 ? rest : rest.substring(0, slash);
+        boolean abort = slash >= 0 && rest.substring(slash + 1).equals(UserWire.ABORT);
+        if (slash >= 0 && !abort) {
+            send(exchange, 404, UserWire.error("no such path"));
+        } else if (!exchange.getRequestMethod().equals(abort ? Methods.POST : Methods.GET)) {
+            send(exchange, 405, UserWire.error("use " + (abort ? "POST" : "GET")));
+        } else if (!UserWire.isUid(id)) {
+            send(exchange, 404, UserWire.error("no such job"));
+        } else if (abort) {
+            receive(exchange, (e, body) -> fromUser(e, n -> new Input.Abort(n, id)));
+        } else {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> fromUser(exchange, n -> new Input.Poll(n, id)));
+        }
+    }
+
+    private void submit(HttpServerExchange exchange, byte[] body) {
+        UserWire.Submission s = UserWire.submission(body);
+        fromUser(exchange, n -> new Input.Submit(n, s.uid(), s.job(), s.reason()));
+    }
+
+    /** Asks the core for an answer. Too many at once are told to come back. */
+    private void fromUser(HttpServerExchange exchange, java.util.function.LongFunction<Input> input) {
+        if (pending.size() >= MAX_PENDING) {
+            send(exchange, 503, UserWire.error("too busy, try again"));
+            return;
+        }
+        long id = nextId++;
+        pending.put(id, exchange);
+        thread.executeAfter(() -> reply(id, 503, UserWire.error("no answer in time, try again")), USER_MS, TimeUnit.MILLISECONDS);
+        accept(input.apply(id));
+    }
+
+    private void report(HttpServerExchange exchange, byte[] body) {
+        Report report;
+        try {
+            report = WorkerWire.report(body);
+        } catch (IOException | NumberFormatException e) {
+            send(exchange, 400, UserWire.error("not a report"));
+            return;
+        }
+        long id = nextId++;
+        pending.put(id, exchange);
+        accept(new Input.ReportReceived(id, report));
+        reply(id, 503, UserWire.error("not entitled now"));
+    }
+
+    private void servePeer(HttpServerExchange exchange) {
+        if (!exchange.getRelativePath().equals(PeerWire.STATUS)) {
+            send(exchange, 404, UserWire.error("no such path"));
+            return;
+        }
+        receive(exchange, (e, body) -> {
+            try {
+                accept(new Input.PeerHeard(PeerWire.status(body)));
+                send(e, 200, UserWire.error("none"));
+            } catch (IOException | RuntimeException bad) {
+                send(e, 400, UserWire.error("not a status"));
+            }
+        });
+    }
+
+    /** Something done with a request's whole body. */
+    private interface Receiver {
+        void received(HttpServerExchange exchange, byte[] body);
+    }
+
+    private static void only(HttpServerExchange exchange, HttpString method, Runnable then) {
+        if (exchange.getRequestMethod().equals(method)) {
+            then.run();
+        } else {
+            send(exchange, 405, UserWire.error("use " + method));
+        }
+    }
+
+    private static void receive(HttpServerExchange exchange, Receiver receiver) {
+        if (exchange.getRequestContentLength() > MAX_BODY) {
+            exchange.setPersistent(false);
+            send(exchange, 400, UserWire.error("the body is over 64 KiB"));
+            return;
+        }
+        exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY);
+        exchange.getRequestReceiver().receiveFullBytes(
+                (e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> receiver.received(e, body)),
+                (e, bad) -> {
+                    e.setPersistent(false);
+                    send(e, 400, UserWire.error("the body is over 64 KiB or broke off"));
+                });
+    }
+
+    private void reply(long id, int status, byte[] body) {
+        HttpServerExchange exchange = pending.remove(id);
+        if (exchange != null) {
+            send(exchange, status, body);
+        }
+    }
+
+    private static void send(HttpServerExchange exchange, int status, byte[] body) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        if (status == 503) {
+            exchange.getResponseHeaders().put(RETRY_AFTER, "1");
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -0,0 +1,142 @@
+package dewlane.io;
+
+import dewlane.core.Input;
+import dewlane.core.Keys;
+import dewlane.core.Txn;
+import dewlane.wire.StateWire;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** Talks to the state service and hands its answers to the core. */
+final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+    private static final int PAGE = 200;
+    private static final long CALL_MS = 1500;
+    private static final long WATCH_MS = 3000;
+    /** Gathers changes that come close together into one answer of the watch. */
+    private static final long WATCH_PAUSE_MS = 60;
+    private static final long RETRY_MS = 300;
+
+    private final XnioIoThread thread;
+    private final HttpPool calls;
+    private final HttpPool leases;
+    private final HttpPool watches;
+    private final Consumer<Input> core;
+
+    StateClient(XnioIoThread thread, ByteBufferPool buffers, String address, Consumer<Input> core) {
+        this.thread = thread;
+        this.calls = new HttpPool(thread, buffers, address, 12);
+        this.leases = new HttpPool(thread, buffers, address, 2);
+        this.watches = new HttpPool(thread, buffers, address, 2);
+        this.core = core;
+    }
+
+    void list() {
+        page(Keys.AFTER_FINALS, new ArrayList<>(), 0);
+    }
+
+    private void page(String after, List<Input.Row> rows, long first) {
+        calls.send(Methods.GET, StateWire.list(Keys.ROOT, after, PAGE), null, 3000, (status, body) -> {
+            if (status != 200) {
+                thread.executeAfter(() -> core.accept(new Input.ListFailed()), RETRY_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            try {
+                StateWire.Page page = StateWire.page(body);
+                rows.addAll(page.rows());
+                long from = first == 0 ? page.revision() : first;
+                if (page.more() && !page.rows().isEmpty()) {
+                    page(page.rows().get(page.rows().size() - 1).key(), rows, from);
+                } else {
+                    core.accept(new Input.StateListed(rows, from, page.revision()));
+                }
+            } catch (IOException e) {
+                LOG.error("unreadable list of the state service: {}", e.getMessage());
+                core.accept(new Input.ListFailed());
+            }
+        });
+    }
+
+    void watch(long since) {
+        thread.executeAfter(() -> openWatch(since), WATCH_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void openWatch(long since) {
+        watches.send(Methods.GET, StateWire.watch(Keys.ROOT, since, WATCH_MS), null, WATCH_MS + 1500, (status, body) -> {
+            try {
+                if (status == 200) {
+                    StateWire.Events events = StateWire.events(body);
+                    core.accept(new Input.Changes(events.changes(), events.revision()));
+                    return;
+                }
+            } catch (IOException e) {
+                LOG.error("unreadable changes of the state service: {}", e.getMessage());
+            }
+            long pause = status == HttpPool.NO_ANSWER ? 0 : RETRY_MS;
+            thread.executeAfter(() -> core.accept(new Input.WatchFailed(status == 410)), pause, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    void txn(long id, Txn txn) {
+        calls.send(Methods.POST, StateWire.TXN, StateWire.txn(txn), CALL_MS, (status, body) -> {
+            Txn.Status outcome = switch (status) {
+                case 200 -> Txn.Status.COMMITTED;
+                case 409 -> Txn.Status.CONFLICT;
+                case 400 -> Txn.Status.INVALID;
+                case 429, 503 -> Txn.Status.REFUSED;
+                default -> Txn.Status.UNKNOWN;
+            };
+            long revision = 0;
+            try {
+                if (status == 200 || status == 409) {
+                    revision = StateWire.revision(body);
+                } else if (status == 400) {
+                    LOG.error("the state service calls a write invalid: {}", new String(body, java.nio.charset.StandardCharsets.UTF_8));
+                }
+            } catch (IOException e) {
+                outcome = Txn.Status.UNKNOWN;
+            }
+            core.accept(new Input.TxnAnswer(id, outcome, revision));
+        });
+    }
+
+    void read(long id, String key) {
+        calls.send(Methods.GET, StateWire.get(key), null, CALL_MS, (status, body) -> {
+            try {
+                if (status == 200) {
+                    Input.Row row = StateWire.row(key, body);
+                    core.accept(new Input.ValueRead(id, true, row.value(), row.version()));
+                    return;
+                }
+            } catch (IOException e) {
+                LOG.error("{}", e.getMessage());
+            }
+            core.accept(new Input.ValueRead(id, status == 404, null, 0));
+        });
+    }
+
+    void grant(long ttlMs) {
+        leases.send(Methods.POST, StateWire.GRANTS, StateWire.grant(ttlMs), CALL_MS, (status, body) -> {
+            long lease = 0;
+            try {
+                lease = status == 200 ? StateWire.granted(body) : 0;
+            } catch (IOException e) {
+                LOG.error("unreadable grant: {}", e.getMessage());
+            }
+            core.accept(new Input.LeaseGranted(lease));
+        });
+    }
+
+    void touch(long lease) {
+        leases.send(Methods.POST, StateWire.touch(lease), new byte[0], 1000, (status, body) ->
+                core.accept(new Input.LeaseTouched(lease, status == 200, status == 404)));
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/wire/CloudWire.java
@@ -0,0 +1,95 @@
+package dewlane.wire;
+
+import dewlane.core.ListedMachine;
+import dewlane.core.MachineType;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The cloud's protocol. */
+public final class CloudWire {
+    public static final String CATALOG = "/catalog";
+    public static final String MACHINES = "/machines";
+    public static final String DELETE = "/machines/delete";
+    public static final int MAX_DELETE = 100;
+    private static final int PAGE = 500;
+
+    private CloudWire() { }
+
+    /** A page of the machine list. */
+    public record Page(List<ListedMachine> machines, boolean more) { }
+
+    public static List<MachineType> catalog(byte[] body) throws IOException {
+        List<MachineType> types = new ArrayList<>();
+        for (Object o : Json.list(Json.object(body), "racks")) {
+            Map<String, Object> t = Json.object(o);
+            types.add(new MachineType(Json.string(t, "name"), Json.number(t, "vcpus"), zeroIfNone(t, "gpus"),
+                    Json.number(t, "ramGb"), Json.number(t, "cacheGb"), Json.number(t, "fetchGbPerS"),
+                    Json.number(t, "hourly"), Json.number(t, "marketPrice"), Json.number(t, "readyS"),
+                    Json.strings(t, "cellars")));
+        }
+        return types;
+    }
+
+    private static double zeroIfNone(Map<String, Object> of, String field) {
+        double d = Json.number(of, field);
+        return Double.isNaN(d) ? 0 : d;
+    }
+
+    public static String page(String after) {
+        return MACHINES + "?limit=" + PAGE + (after == null ? "" : "&since=" + after);
+    }
+
+    public static Page page(byte[] body) throws IOException {
+        Map<String, Object> in = Json.object(body);
+        List<ListedMachine> machines = new ArrayList<>();
+        for (Object o : Json.list(in, "casks")) {
+            Map<String, Object> m = Json.object(o);
+            machines.add(new ListedMachine(Json.string(m, "uid"), Json.string(m, "address"), Json.string(m, "rack"),
+                    Json.string(m, "cellar"), Json.flag(m, "consignment"),
+                    switch (String.valueOf(Json.string(m, "condition"))) {
+                        case "running" -> ListedMachine.State.RUNNING;
+                        case "failed" -> ListedMachine.State.FAILED;
+                        default -> ListedMachine.State.STARTING;
+                    }, zeroIfNone(m, "heldS")));
+        }
+        return new Page(machines, Json.flag(in, "more"));
+    }
+
+    public static byte[] rent(String request, String type, String zone, boolean spot, int count) {
+        return Json.write(out -> {
+            out.writeStartObject();
+            out.writeStringField("indent", request);
+            out.writeStringField("rack", type);
+            out.writeStringField("cellar", zone);
+            out.writeBooleanField("consignment", spot);
+            out.writeNumberField("count", count);
+            out.writeEndObject();
+        });
+    }
+
+    public static List<String> rented(byte[] body) throws IOException {
+        return Json.strings(Json.object(body), "casks");
+    }
+
+    public static boolean noCapacity(byte[] body) {
+        try {
+            return "no capacity".equals(Json.string(Json.object(body), "error"));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    public static byte[] delete(List<String> names) {
+        return Json.write(out -> {
+            out.writeStartObject();
+            out.writeArrayFieldStart("casks");
+            for (String name : names) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/wire/PeerWire.java
@@ -0,0 +1,44 @@
+package dewlane.wire;
+
+import dewlane.core.PeerStatus;
+import dewlane.core.PeerStatus.PeerMachine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** What controllers tell one another, as MessagePack. */
+public final class PeerWire {
+    public static final String STATUS = "/peer/status";
+
+    private PeerWire() { }
+
+    public static byte[] status(PeerStatus s) throws IOException {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packString(s.node()).packLong(s.epoch()).packBoolean(s.stateReachable());
+            out.packArrayHeader(s.machines().size());
+            for (PeerMachine m : s.machines()) {
+                out.packString(m.name()).packString(m.address()).packString(m.type()).packString(m.zone())
+                        .packBoolean(m.spot()).packLong(m.session());
+            }
+            return out.toByteArray();
+        }
+    }
+
+    public static PeerStatus status(byte[] body) throws IOException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
+            String node = in.unpackString();
+            long epoch = in.unpackLong();
+            boolean reachable = in.unpackBoolean();
+            int n = in.unpackArrayHeader();
+            List<PeerMachine> machines = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                machines.add(new PeerMachine(in.unpackString(), in.unpackString(), in.unpackString(),
+                        in.unpackString(), in.unpackBoolean(), in.unpackLong()));
+            }
+            return new PeerStatus(node, epoch, reachable, machines);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/wire/UserWire.java
@@ -0,0 +1,142 @@
+package dewlane.wire;
+
+import dewlane.core.Effect.Condition;
+import dewlane.core.Effect.JobState;
+import dewlane.core.Job;
+import dewlane.core.Priority;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** The users' protocol. */
+public final class UserWire {
+    public static final String RUNS = "/v2/runs";
+    public static final String ABORT = "abort";
+
+    private static final Pattern UID = Pattern.compile("wk-[0-9]{1,30}");
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_NAME = 200;
+
+    private UserWire() { }
+
+    /** A submission's body: the job, or why it is malformed; the id is kept if it at least has one. */
+    public record Submission(String uid, Job job, String reason) { }
+
+    private static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Malformed(String reason) {
+            super(reason, null, false, false);
+        }
+    }
+
+    public static boolean isUid(String id) {
+        return UID.matcher(id).matches();
+    }
+
+    public static Submission submission(byte[] body) {
+        Map<String, Object> in;
+        try {
+            in = Json.object(body);
+        } catch (IOException e) {
+            return new Submission(null, null, "the body is not one JSON object");
+        }
+        String uid = Json.string(in, "uid");
+        if (uid == null || !isUid(uid)) {
+            return new Submission(null, null, "uid must be a string such as wk-000412");
+        }
+        try {
+            return new Submission(uid, job(uid, in), null);
+        } catch (Malformed e) {
+            return new Submission(uid, null, e.getMessage());
+        }
+    }
+
+    private static Job job(String uid, Map<String, Object> in) throws Malformed {
+        if (!"batch".equals(text(in, "style"))) {
+            throw new Malformed("style must be batch");
+        }
+        Priority priority = switch (text(in, "rank")) {
+            case "critical" -> Priority.CRITICAL;
+            case "high" -> Priority.HIGH;
+            case "standard" -> Priority.STANDARD;
+            case "idle" -> Priority.IDLE;
+            default -> throw new Malformed("rank must be critical, high, standard or idle");
+        };
+        if (!(in.get("bottles") instanceof Long tasks) || tasks < 1 || tasks > MAX_TASKS) {
+            throw new Malformed("bottles must be an integer from 1 to " + MAX_TASKS);
+        }
+        List<String> types = new ArrayList<>();
+        if (in.get("racks") != null) {
+            if (!(in.get("racks") instanceof List<?> racks) || racks.isEmpty()) {
+                throw new Malformed("racks must be null or a list of machine types");
+            }
+            for (Object rack : racks) {
+                if (!(rack instanceof String s) || s.isEmpty() || s.length() > MAX_NAME) {
+                    throw new Malformed("racks must be null or a list of machine types");
+                }
+                types.add(s);
+            }
+        }
+        String zone = in.get("cellar") == null ? null : text(in, "cellar");
+        double deadline = in.get("shipByS") == null ? 0 : amount(in, "shipByS", false);
+        return new Job(uid, text(in, "lot"), text(in, "house"), priority, tasks.intValue(),
+                amount(in, "vcpus", false), amount(in, "gpus", true), amount(in, "ramGb", false),
+                text(in, "blend"), amount(in, "pullGb", false), List.copyOf(types), zone,
+                flag(in, "samePlace"), flag(in, "scatter"), flag(in, "consignment"),
+                amount(in, "maturingS", false), amount(in, "rackingS", true), amount(in, "corkingS", true),
+                deadline, 0);
+    }
+
+    private static String text(Map<String, Object> in, String field) throws Malformed {
+        if (!(in.get(field) instanceof String s) || s.isEmpty() || s.length() > MAX_NAME) {
+            throw new Malformed(field + " must be a string of 1 to " + MAX_NAME + " characters");
+        }
+        return s;
+    }
+
+    private static boolean flag(Map<String, Object> in, String field) throws Malformed {
+        if (!(in.get(field) instanceof Boolean b)) {
+            throw new Malformed(field + " must be true or false");
+        }
+        return b;
+    }
+
+    private static double amount(Map<String, Object> in, String field, boolean zero) throws Malformed {
+        double d = Json.number(in, field);
+        if (!Double.isFinite(d) || d < 0 || (d == 0 && !zero)) {
+            throw new Malformed(field + " must be a number " + (zero ? "of at least 0" : "above 0"));
+        }
+        return d;
+    }
+
+    public static byte[] state(JobState state) {
+        return Json.write(out -> {
+            out.writeStartObject();
+            out.writeStringField("uid", state.job());
+            out.writeStringField("condition", word(state.condition()));
+            out.writeNumberField("done", state.done());
+            out.writeNumberField("running", state.running());
+            out.writeEndObject();
+        });
+    }
+
+    private static String word(Condition condition) {
+        return switch (condition) {
+            case PENDING -> "pending";
+            case RUNNING -> "running";
+            case DONE -> "done";
+            case ABORTED -> "aborted";
+        };
+    }
+
+    public static byte[] error(String reason) {
+        return Json.write(out -> {
+            out.writeStartObject();
+            out.writeStringField("error", reason);
+            out.writeEndObject();
+        });
+    }
+}
