Random runs against stand-ins with a rules checker; rent for the smallest demand

Found by the random runs: a job that only one kind of machine may host, with a demand of a small part of a machine, was rounded down to none and waited for ever. Where no machine in the fleet would ever do, one is now rented, and idle machines are returned even while some other job waits.

--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -124,9 +124,7 @@
         if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000) {
             Map<JobEntry, Double> unmet = unmet();
             rent(unmet);
-            if (unmet.isEmpty()) {
-                returnIdle();
-            }
+            returnIdle(unmet.isEmpty() ? 1 : 3);
         }
     }
 
@@ -314,13 +312,21 @@
             }
             added[0] += Math.max(0, allowed) * spec.cpus();
             if (left > 0) {
-                // Short tasks share a slot one after the other while a machine is there.
-                unmet.put(job, left * Math.min(1, Math.max(0.1, spec.estimateS() / 40)));
+                // Short tasks share a slot one after the other while a machine is there. Where no machine would ever
+                // do, the smallest demand still needs one, or the job would wait for ever.
+                boolean hosted = bins.stream().anyMatch(b ->
+                        spec.allows(b.type.name(), b.zone, b.spot) && b.type.fits(spec) > 0);
+                double slots = left * Math.min(1, Math.max(0.1, spec.estimateS() / 40));
+                unmet.put(job, hosted ? slots : Math.max(slots, mostOnOne(spec)));
             }
         }
         return unmet;
     }
 
+    private int mostOnOne(Job job) {
+        return machines.types().stream().mapToInt(t -> t.fits(job)).max().orElse(1);
+    }
+
     private void rent(Map<JobEntry, Double> unmet) {
         if (rentals.size() >= 3) {
             return;
@@ -329,7 +335,8 @@
         unmet.forEach((job, slots) -> {
             Place place = cheapest(job.job());
             if (place != null) {
-                wanted.merge(place, slots / machines.type(place.type).fits(job.job()), Double::sum);
+                double amount = slots / machines.type(place.type).fits(job.job());
+                wanted.merge(place, amount, Double::sum);
             }
         });
         wanted.forEach((place, amount) -> {
@@ -367,8 +374,8 @@
         return best;
     }
 
-    private void returnIdle() {
-        long idleMs = (long) (context.settings().tuning().idleS() * 1000);
+    private void returnIdle(int patience) {
+        long idleMs = (long) (context.settings().tuning().idleS() * 1000 * patience);
         Machine longest = null;
         for (String name : listed.keySet()) {
             Machine m = machines.get(name);
--- /dev/null
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -0,0 +1,160 @@
+package dewlane.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Keys;
+import dewlane.core.Settings;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Several cores against the stand-ins, with every kind of failure, in seeded random order. */
+class RandomRunsTest {
+    private static final int RUNS_PER_GROUP = Integer.getInteger("dewlane.runs", 6);
+    private static final long STORM_MS = 240_000;
+    private static final long CALM_MS = 700_000;
+
+    private static Settings settings() {
+        return new Settings("none", List.of("n0", "n1", "n2"),
+                Map.of("blue", new Settings.Team("blue", 6, 0, 12, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
+                List.of("east", "west"), 3, 20, 50, 150, 60, 16_384, 16, 10, 3,
+                new Settings.Tuning(3000, 9, 20, 4));
+    }
+
+    /** Runs a storm of failures, then calm. */
+    private static World run(long seed, World.Broken broken) {
+        World world = new World(seed, settings(), broken);
+        for (String name : List.of("n0", "n1", "n2")) {
+            SimNode node = new SimNode(world, name);
+            world.nodes.put(name, node);
+            world.after(world.between(0, 800), node::start);
+        }
+        for (int i = 0; i < 4; i++) {
+            SimWorker m = world.cloud.create(i % 2 == 0 ? "small" : "large", i < 2 ? "east" : "west", i % 2 == 0);
+            world.after(world.between(0, 500), m::boot);
+        }
+        world.every(2600, () -> {
+            if (world.now() < STORM_MS) {
+                world.users.submitOne();
+            }
+        });
+        world.every(400, world.users::pollSome);
+        world.every(2500, () -> {
+            if (world.now() < STORM_MS) {
+                strike(world);
+            }
+        });
+        world.run(STORM_MS);
+        world.trouble = 0;
+        world.run(CALM_MS);
+        return world;
+    }
+
+    private static void strike(World world) {
+        List<SimNode> nodes = List.copyOf(world.nodes.values());
+        SimNode node = nodes.get(world.random.nextInt(nodes.size()));
+        List<SimWorker> machines = world.cloud.machines.values().stream().filter(m -> !m.gone && m.up).toList();
+        SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
+        switch (world.random.nextInt(18)) {
+            case 0, 1 -> crash(world, node, world.between(100, 9000));
+            case 2 -> nodes.forEach(n -> crash(world, n, world.between(100, 6000)));
+            case 3 -> {
+                crash(world, node, 200);
+                world.after(700, () -> crash(world, node, 300));
+            }
+            case 4 -> world.state.outage(world.between(1000, 12_000));
+            case 5 -> {
+                world.state.refused.add(node.name);
+                world.after(world.between(2000, 25_000), () -> world.state.refused.remove(node.name));
+            }
+            case 6 -> {
+                node.cutFromState = true;
+                world.after(world.between(2000, 25_000), () -> node.cutFromState = false);
+            }
+            case 7 -> {
+                node.cutFromWorkers = true;
+                world.after(world.between(2000, 25_000), () -> node.cutFromWorkers = false);
+            }
+            case 8, 9 -> {
+                if (machine != null) {
+                    world.trace("vanish " + machine.name);
+                    machine.vanish();
+                }
+            }
+            case 10, 11 -> {
+                if (machine != null) {
+                    machine.hangsUntil = world.now() + world.between(2000, 40_000);
+                }
+            }
+            case 12, 13 -> {
+                if (machine != null) {
+                    machine.cut = true;
+                    world.after(world.between(2000, 40_000), () -> machine.cut = false);
+                }
+            }
+            case 14 -> {
+                if (machine != null) {
+                    machine.sick = true;
+                    world.after(30_000, () -> machine.sick = false);
+                }
+            }
+            case 15 -> {
+                world.cloud.out = true;
+                world.after(world.between(2000, 15_000), () -> world.cloud.out = false);
+            }
+            default -> {
+                world.trouble = 0.2;
+                world.after(5000, () -> world.trouble = world.now() < STORM_MS ? 0.02 : 0);
+            }
+        }
+    }
+
+    private static void crash(World world, SimNode node, long backAfterMs) {
+        if (node.alive) {
+            node.crash(backAfterMs);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4})
+    void noRuleBreaksAndEveryJobEnds(int group) {
+        for (int i = 0; i < RUNS_PER_GROUP; i++) {
+            long seed = 1000 + group * RUNS_PER_GROUP + i;
+            World world = run(seed, World.Broken.NONE);
+            assertTrue(world.checker.starts > 50, "seed " + seed + ": only " + world.checker.starts + " starts");
+            assertTrue(world.users.accepted().size() > 30, "seed " + seed + ": " + world.users.accepted().size() + " accepted");
+            for (String id : world.users.accepted()) {
+                assertNotNull(world.state.get(Keys.fin(id)), "seed " + seed + ": " + id + " never ended\n" + world.lately(id) + world.describe(id));
+            }
+            assertEquals(Map.of(), world.state.all(Keys.JOBS), "seed " + seed + ": jobs that are over leave nothing but their final state");
+            assertEquals(Map.of(), world.state.all(Keys.SLICES), "seed " + seed);
+        }
+    }
+
+    /** The checker is worth something only if it sees a rule broken once its guard is gone. */
+    @ParameterizedTest
+    @EnumSource(value = World.Broken.class, names = {"TEAM_GUARD", "SLICE_GUARD", "JOB_GUARD", "WORKER_TOKEN"})
+    void theCheckerSeesABrokenGuard(World.Broken broken) {
+        for (long seed = 1; seed <= 60; seed++) {
+            try {
+                run(seed, broken);
+            } catch (Checker.Violation e) {
+                return;
+            }
+        }
+        throw new AssertionError("60 runs without " + broken + " broke no rule");
+    }
+
+    @Test
+    void theSameSeedIsTheSameRun() {
+        World one = run(77, World.Broken.NONE);
+        World two = run(77, World.Broken.NONE);
+        assertEquals(one.checker.starts, two.checker.starts);
+        assertEquals(one.users.accepted(), two.users.accepted());
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -0,0 +1,123 @@
+package dewlane.sim;
+
+import dewlane.core.Effect;
+import dewlane.core.Input;
+import dewlane.core.ListedMachine;
+import dewlane.core.MachineType;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The cloud: rents and deletes machines and lists them late. */
+final class SimCloud {
+    private final World world;
+    final Map<String, SimWorker> machines = new LinkedHashMap<>();
+    private final Map<String, List<String>> requests = new HashMap<>();
+    private final List<MachineType> types = List.of(
+            new MachineType("small", 4, 0, 16, 20, 1, 0.2, 0.06, 4, List.of("east", "west")),
+            new MachineType("large", 8, 0, 32, 20, 1, 0.4, 0.1, 6, List.of("east", "west")));
+    private List<ListedMachine> shown = List.of();
+    boolean out;
+    int room = 12;
+    private int nextName = 1;
+
+    SimCloud(World world) {
+        this.world = world;
+        world.every(1500, () -> {
+            List<ListedMachine> now = new ArrayList<>();
+            machines.values().forEach(m -> now.add(m.listed()));
+            world.after(world.between(1000, 4000), () -> shown = now);
+        });
+    }
+
+    MachineType type(String name) {
+        return types.stream().filter(t -> t.name().equals(name)).findFirst().orElseThrow();
+    }
+
+    SimWorker create(String type, String zone, boolean spot) {
+        SimWorker m = new SimWorker(world, String.format("vm-%06d", nextName++), type(type), zone, spot);
+        machines.put(m.name, m);
+        return m;
+    }
+
+    void catalog(SimNode node) {
+        if (!out) {
+            node.call(() -> true, () -> new Input.CatalogRead(types), new Input.Tick(), 5000);
+        }
+    }
+
+    void list(SimNode node) {
+        if (!out) {
+            node.call(() -> true, () -> new Input.MachinesListed(shown), new Input.Tick(), 5000);
+        }
+    }
+
+    void rent(SimNode node, Effect.Rent e) {
+        node.call(() -> true, () -> {
+            if (out) {
+                return new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of());
+            }
+            List<String> names = requests.get(e.request());
+            if (names == null) {
+                names = new ArrayList<>();
+                long there = machines.values().stream().filter(m -> !m.gone).count();
+                for (int i = 0; i < e.count() && there + i < room; i++) {
+                    SimWorker m = create(e.type(), e.zone(), e.spot());
+                    names.add(m.name);
+                    if (!world.chance(0.1)) {
+                        world.after(world.between(2000, 9000), m::boot);
+                    }
+                }
+                if (names.isEmpty()) {
+                    return new Input.Rented(e.request(), Input.RentStatus.NO_CAPACITY, List.of());
+                }
+                requests.put(e.request(), names);
+            }
+            return new Input.Rented(e.request(), Input.RentStatus.RENTED, names);
+        }, new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of()), 5000);
+    }
+
+    void delete(SimNode node, List<String> names) {
+        node.call(() -> true, () -> {
+            if (out) {
+                return new Input.Deleted(names, false);
+            }
+            names.forEach(n -> {
+                SimWorker m = machines.remove(n);
+                if (m != null) {
+                    m.vanish();
+                }
+            });
+            return new Input.Deleted(names, true);
+        }, new Input.Deleted(names, false), 5000);
+    }
+
+    void command(SimNode node, Effect.Command e) {
+        SimWorker m = machines.get(e.machine());
+        boolean launches = e.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
+        Input silence = new Input.CommandAnswered(e.machine(), e.token(), launches, null);
+        if (m == null) {
+            world.after(2500, () -> node.hear(node.life, silence));
+            return;
+        }
+        int of = node.life;
+        boolean[] heard = {false};
+        world.after(2500, () -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                node.hear(of, silence);
+            }
+        });
+        if (node.cutFromWorkers) {
+            return;
+        }
+        world.deliver(() -> m.whenAwake(() -> world.deliver(() -> {
+            if (!heard[0] && !node.cutFromWorkers) {
+                heard[0] = true;
+                node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), launches, m.report()));
+            }
+        }), () -> m.command(e)));
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -0,0 +1,195 @@
+package dewlane.sim;
+
+import dewlane.core.Controller;
+import dewlane.core.Effect;
+import dewlane.core.Input;
+import dewlane.core.Order;
+import dewlane.core.Report;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** A controller process: the real core, with everything round it made up. */
+final class SimNode {
+    /** A worker's answer: the status, and for 200 the token and orders, for 421 the node to report to. */
+    record ReportAnswer(int status, long token, java.util.List<Order> orders, String node) { }
+
+    final World world;
+    final String name;
+    /** Grows with every start; messages for an earlier life are dropped. */
+    int life;
+    boolean alive;
+    boolean cutFromState;
+    boolean cutFromWorkers;
+    private Controller core;
+    private final Map<Long, Consumer<Effect.AnswerUser>> users = new HashMap<>();
+    private final Map<Long, Consumer<ReportAnswer>> reports = new HashMap<>();
+    private final Deque<Effect> effects = new ArrayDeque<>();
+    private boolean acting;
+    private long nextId = 1;
+
+    SimNode(World world, String name) {
+        this.world = world;
+        this.name = name;
+    }
+
+    void start() {
+        life++;
+        alive = true;
+        users.clear();
+        reports.clear();
+        effects.clear();
+        core = new Controller(settingsOf(name), world.random.nextLong());
+        ticks(life);
+    }
+
+    private dewlane.core.Settings settingsOf(String node) {
+        dewlane.core.Settings s = world.settings;
+        return new dewlane.core.Settings(node, s.peers(), s.teams(), s.zones(), s.reportS(), s.leaseS(), s.cancelS(),
+                s.stateRps(), s.stateWriteRps(), s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.tuning());
+    }
+
+    private void ticks(int of) {
+        if (life == of && alive) {
+            hear(of, new Input.Tick());
+            world.after(100, () -> ticks(of));
+        }
+    }
+
+    void crash(long backAfterMs) {
+        world.trace("crash " + name);
+        alive = false;
+        life++;
+        world.after(backAfterMs, this::start);
+    }
+
+    boolean ready() {
+        return alive && core.ready();
+    }
+
+    boolean stateReachable() {
+        return !cutFromState;
+    }
+
+    void hear(int of, Input input) {
+        if (!alive || life != of) {
+            return;
+        }
+        effects.addAll(core.handle(world.now(), 1_000_000 + world.now(), input));
+        if (acting) {
+            return;
+        }
+        acting = true;
+        while (!effects.isEmpty()) {
+            act(effects.poll());
+        }
+        acting = false;
+    }
+
+    /** A request and its answer; if either is lost, {@code silence} is heard once the time is up. */
+    void call(BooleanSupplier reachable, Supplier<Input> service, Input silence, long timeoutMs) {
+        int of = life;
+        boolean[] heard = {false};
+        world.after(timeoutMs, () -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                hear(of, silence);
+            }
+        });
+        if (!reachable.getAsBoolean()) {
+            return;
+        }
+        world.deliver(() -> {
+            Input answer = service.get();
+            if (reachable.getAsBoolean()) {
+                world.deliver(() -> {
+                    if (!heard[0]) {
+                        heard[0] = true;
+                        hear(of, answer);
+                    }
+                });
+            }
+        });
+    }
+
+    void submit(dewlane.core.Job job, Consumer<Effect.AnswerUser> then) {
+        ask(id -> new Input.Submit(id, job.id(), job, null), then);
+    }
+
+    void poll(String job, Consumer<Effect.AnswerUser> then) {
+        ask(id -> new Input.Poll(id, job), then);
+    }
+
+    void abort(String job, Consumer<Effect.AnswerUser> then) {
+        ask(id -> new Input.Abort(id, job), then);
+    }
+
+    private void ask(java.util.function.LongFunction<Input> input, Consumer<Effect.AnswerUser> then) {
+        long id = nextId++;
+        users.put(id, then);
+        hear(life, input.apply(id));
+    }
+
+    void report(Report report, Consumer<ReportAnswer> then) {
+        long id = nextId++;
+        reports.put(id, then);
+        hear(life, new Input.ReportReceived(id, report));
+    }
+
+    private void answerReport(long id, ReportAnswer answer) {
+        Consumer<ReportAnswer> then = reports.remove(id);
+        if (then != null) {
+            then.accept(answer);
+        }
+    }
+
+    private void act(Effect effect) {
+        if (effect instanceof Effect.AnswerUser e) {
+            Consumer<Effect.AnswerUser> then = users.remove(e.id());
+            if (then != null) {
+                then.accept(e);
+            }
+        } else if (effect instanceof Effect.AnswerReport e) {
+            answerReport(e.id(), new ReportAnswer(200, e.token(), e.orders(), null));
+        } else if (effect instanceof Effect.RedirectReport e) {
+            answerReport(e.id(), new ReportAnswer(421, 0, null, e.node()));
+        } else if (effect instanceof Effect.RefuseReport e) {
+            answerReport(e.id(), new ReportAnswer(503, 0, null, null));
+        } else if (effect instanceof Effect.SendTxn e) {
+            world.state.txn(this, e.id(), e.txn());
+        } else if (effect instanceof Effect.Watch e) {
+            world.state.watch(this, e.since());
+        } else if (effect instanceof Effect.ReadValue e) {
+            world.state.read(this, e.id(), e.key());
+        } else if (effect instanceof Effect.ListState) {
+            world.state.list(this);
+        } else if (effect instanceof Effect.GrantLease e) {
+            world.state.grant(this, e.ttlMs());
+        } else if (effect instanceof Effect.TouchLease e) {
+            world.state.touch(this, e.lease(), world.settings.tuning().memberTtlMs());
+        } else if (effect instanceof Effect.Command e) {
+            world.cloud.command(this, e);
+        } else if (effect instanceof Effect.ReadCatalog) {
+            world.cloud.catalog(this);
+        } else if (effect instanceof Effect.ListMachines) {
+            world.cloud.list(this);
+        } else if (effect instanceof Effect.Rent e) {
+            world.cloud.rent(this, e);
+        } else if (effect instanceof Effect.Delete e) {
+            world.cloud.delete(this, e.machines());
+        } else if (effect instanceof Effect.TellPeers e) {
+            for (SimNode peer : world.nodes.values()) {
+                int of = peer.life;
+                if (peer != this) {
+                    world.deliver(() -> peer.hear(of, new Input.PeerHeard(e.status())));
+                }
+            }
+        } else if (effect instanceof Effect.Log e) {
+            world.trace(name + " " + e.text());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -0,0 +1,205 @@
+package dewlane.sim;
+
+import dewlane.core.Input;
+import dewlane.core.Keys;
+import dewlane.core.Txn;
+import dewlane.core.Value;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** The state service: conditional writes, leases and a watch, with outages, refusals to one node and late writes. */
+final class SimState {
+    private record Held(Value value, long version, long lease) { }
+
+    private record Watch(SimNode node, int life, long since) { }
+
+    private final World world;
+    private final TreeMap<String, Held> keys = new TreeMap<>();
+    private final List<Input.Change> log = new ArrayList<>();
+    private final Map<Long, Long> leases = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    final Set<String> refused = new HashSet<>();
+    boolean out;
+    private long revision;
+    private long nextLease = 1;
+
+    SimState(World world) {
+        this.world = world;
+        world.every(50, this::expire);
+    }
+
+    Value get(String key) {
+        Held held = keys.get(key);
+        return held == null ? null : held.value;
+    }
+
+    Map<String, Value> all(String prefix) {
+        Map<String, Value> found = new TreeMap<>();
+        keys.subMap(prefix, prefix + "\uffff").forEach((k, v) -> found.put(k, v.value));
+        return found;
+    }
+
+    private boolean serves(SimNode node) {
+        return !out && !refused.contains(node.name);
+    }
+
+    void list(SimNode node) {
+        node.call(node::stateReachable, () -> {
+            if (!serves(node)) {
+                return new Input.ListFailed();
+            }
+            List<Input.Row> rows = new ArrayList<>();
+            keys.forEach((k, v) -> {
+                if (!k.startsWith(Keys.FINALS)) {
+                    rows.add(new Input.Row(k, v.value, v.version));
+                }
+            });
+            return new Input.StateListed(rows, revision, revision);
+        }, new Input.ListFailed(), 3000);
+    }
+
+    void watch(SimNode node, long since) {
+        int life = node.life;
+        world.after(60, () -> {
+            if (node.life == life) {
+                watches.add(new Watch(node, life, since));
+                notifyWatches();
+            }
+        });
+    }
+
+    private void notifyWatches() {
+        if (out) {
+            return;
+        }
+        List<Watch> left = new ArrayList<>();
+        for (Watch w : List.copyOf(watches)) {
+            if (w.node.life != w.life) {
+                continue;
+            }
+            if (refused.contains(w.node.name) || !w.node.stateReachable() || w.since >= revision) {
+                left.add(w);
+                continue;
+            }
+            List<Input.Change> changes = log.stream().filter(c -> c.version() > w.since).toList();
+            long at = revision;
+            world.after(world.between(1, 6), () -> w.node.hear(w.life, new Input.Changes(changes, at)));
+        }
+        watches.clear();
+        watches.addAll(left);
+    }
+
+    void txn(SimNode node, long id, Txn txn) {
+        node.call(node::stateReachable, () -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
+                new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0), 1500);
+    }
+
+    private Input apply(long id, Txn txn) {
+        for (Txn.Write w : txn.apply()) {
+            if (w.lease() != 0 && !leases.containsKey(w.lease())) {
+                return new Input.TxnAnswer(id, Txn.Status.INVALID, 0);
+            }
+        }
+        for (Txn.Guard g : txn.when()) {
+            Held held = keys.get(g.key());
+            if ((held == null ? 0 : held.version) != g.version() && !unguarded(g.key())) {
+                return new Input.TxnAnswer(id, Txn.Status.CONFLICT, revision);
+            }
+        }
+        if (txn.apply().size() > world.settings.txnOps() || txn.when().size() > 4 * world.settings.txnOps()) {
+            throw new AssertionError("a transaction of " + txn.apply().size() + " changes and " + txn.when().size() + " conditions");
+        }
+        if (!txn.apply().isEmpty()) {
+            revision++;
+        }
+        for (Txn.Write w : txn.apply()) {
+            if (w.value() == null) {
+                if (keys.remove(w.key()) != null) {
+                    log.add(new Input.Change(w.key(), null, revision));
+                }
+            } else {
+                keys.put(w.key(), new Held(w.value(), revision, w.lease()));
+                log.add(new Input.Change(w.key(), w.value(), revision));
+            }
+        }
+        notifyWatches();
+        return new Input.TxnAnswer(id, Txn.Status.COMMITTED, revision);
+    }
+
+    /** The conditions that a test has removed. */
+    private boolean unguarded(String key) {
+        return switch (world.broken) {
+            case TEAM_GUARD -> key.startsWith(Keys.TEAMS);
+            case SLICE_GUARD -> key.startsWith(Keys.SLICES);
+            case JOB_GUARD -> key.startsWith(Keys.JOBS);
+            case MACHINE_GUARD -> key.startsWith(Keys.MACHINES);
+            default -> false;
+        };
+    }
+
+    void read(SimNode node, long id, String key) {
+        node.call(node::stateReachable, () -> {
+            Held held = keys.get(key);
+            return serves(node) ? new Input.ValueRead(id, true, held == null ? null : held.value, held == null ? 0 : held.version)
+                    : new Input.ValueRead(id, false, null, 0);
+        }, new Input.ValueRead(id, false, null, 0), 1500);
+    }
+
+    void grant(SimNode node, long ttl) {
+        node.call(node::stateReachable, () -> {
+            if (!serves(node)) {
+                return new Input.LeaseGranted(0);
+            }
+            long lease = nextLease++;
+            leases.put(lease, world.now() + ttl);
+            return new Input.LeaseGranted(lease);
+        }, new Input.LeaseGranted(0), 1500);
+    }
+
+    void touch(SimNode node, long lease, long ttl) {
+        node.call(node::stateReachable, () -> {
+            if (!serves(node)) {
+                return new Input.LeaseTouched(lease, false, false);
+            }
+            boolean there = leases.containsKey(lease);
+            if (there) {
+                leases.put(lease, world.now() + ttl);
+            }
+            return new Input.LeaseTouched(lease, there, !there);
+        }, new Input.LeaseTouched(lease, false, false), 1000);
+    }
+
+    void outage(long ms) {
+        out = true;
+        long began = world.now();
+        world.after(ms, () -> {
+            out = false;
+            leases.replaceAll((lease, until) -> until + world.now() - began);
+            notifyWatches();
+        });
+    }
+
+    private void expire() {
+        if (out) {
+            return;
+        }
+        List<Long> ended = leases.entrySet().stream().filter(e -> e.getValue() < world.now()).map(Map.Entry::getKey).toList();
+        for (long lease : ended) {
+            leases.remove(lease);
+            List<String> dead = keys.entrySet().stream().filter(e -> e.getValue().lease == lease).map(Map.Entry::getKey).toList();
+            if (!dead.isEmpty()) {
+                revision++;
+                for (String key : dead) {
+                    keys.remove(key);
+                    log.add(new Input.Change(key, null, revision));
+                }
+            }
+        }
+        notifyWatches();
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -0,0 +1,133 @@
+package dewlane.sim;
+
+import dewlane.core.Effect;
+import dewlane.core.Effect.Condition;
+import dewlane.core.Job;
+import dewlane.core.Priority;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Users who submit, poll and cancel through whichever node answers. */
+final class SimUsers {
+    private final World world;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final List<String> accepted = new ArrayList<>();
+    private int next = 1;
+
+    SimUsers(World world) {
+        this.world = world;
+    }
+
+    Job job(String id) {
+        return jobs.get(id);
+    }
+
+    void submitOne() {
+        String id = String.format("wk-%06d", next++);
+        String team = world.chance(0.5) ? "blue" : "red";
+        boolean oneZone = world.chance(0.15);
+        Job job = new Job(id, "lot", team, Priority.values()[world.random.nextInt(4)], world.between(1, 14),
+                world.between(1, 2), 0, world.between(1, 5), "image-" + world.random.nextInt(3), 1,
+                world.chance(0.2) ? List.of("large") : List.of(), world.chance(0.2) ? "east" : null,
+                oneZone, !oneZone && world.chance(0.15), world.chance(0.7), world.between(1, 12),
+                world.chance(0.5) ? 5 : 0, world.chance(0.5) ? 2 : 0, 0, 0);
+        jobs.put(id, job);
+        submit(job, 0);
+        if (world.chance(0.25)) {
+            world.after(world.between(50, 25_000), () -> abort(id, 0));
+        }
+    }
+
+    private SimNode anyNode() {
+        List<SimNode> up = world.nodes.values().stream().filter(n -> n.alive).toList();
+        return up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
+    }
+
+    private void submit(Job job, int tries) {
+        SimNode node = anyNode();
+        boolean[] answered = {false};
+        world.after(5000, () -> {
+            if (!answered[0] && tries < 12) {
+                submit(job, tries + 1);
+            }
+        });
+        if (node != null) {
+            world.deliver(() -> node.submit(job, a -> world.deliver(() -> {
+                answered[0] |= a.status() < 300;
+                told(job.id(), a);
+                if (a.status() >= 300 && !answered[0] && tries < 12) {
+                    answered[0] = true;
+                    world.after(1000, () -> submit(job, tries + 1));
+                }
+            })));
+        }
+    }
+
+    private void abort(String id, int tries) {
+        SimNode node = anyNode();
+        boolean[] answered = {false};
+        world.after(5000, () -> {
+            if (!answered[0] && tries < 12) {
+                abort(id, tries + 1);
+            }
+        });
+        world.checker.asked(id);
+        if (node != null) {
+            world.deliver(() -> node.abort(id, a -> world.deliver(() -> {
+                answered[0] = a.status() == 200;
+                told(id, a);
+            })));
+        }
+    }
+
+    void pollSome() {
+        List<String> all = List.copyOf(jobs.keySet());
+        SimNode node = anyNode();
+        if (!all.isEmpty() && node != null) {
+            String id = all.get(world.random.nextInt(all.size()));
+            boolean known = accepted.contains(id);
+            long askedAt = world.now();
+            world.deliver(() -> node.poll(id, a -> world.deliver(() -> {
+                if (a.status() == 404 && known) {
+                    world.checker.broken("forgotten", id + " accepted before " + askedAt);
+                }
+                told(id, a, askedAt);
+            })));
+        }
+        if (node != null && world.chance(0.1)) {
+            node.poll("wk-999999", a -> {
+                if (a.status() == 200) {
+                    world.checker.broken("invented", "wk-999999");
+                }
+            });
+        }
+    }
+
+    private void told(String id, Effect.AnswerUser a) {
+        told(id, a, Long.MAX_VALUE);
+    }
+
+    private void told(String id, Effect.AnswerUser a, long askedAt) {
+        if (a.status() != 200 && a.status() != 201) {
+            if (a.status() == 422 || a.status() == 400) {
+                throw new AssertionError("a good job was rejected: " + a);
+            }
+            return;
+        }
+        if (!accepted.contains(id)) {
+            accepted.add(id);
+        }
+        world.checker.told(id, a.state().condition(), askedAt);
+    }
+
+    List<String> accepted() {
+        return accepted;
+    }
+
+    boolean isOver(String id) {
+        Condition c = world.checker.lastTold(id);
+        return c == Condition.DONE || c == Condition.ABORTED;
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -0,0 +1,297 @@
+package dewlane.sim;
+
+import dewlane.core.Effect;
+import dewlane.core.ListedMachine;
+import dewlane.core.MachineType;
+import dewlane.core.Order;
+import dewlane.core.Report;
+import dewlane.core.Report.End;
+import dewlane.core.Report.Phase;
+import dewlane.core.Report.TaskState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A machine and its worker, as the protocol tells it: sessions, leases, tokens and tasks. */
+final class SimWorker {
+    /** An attempt on the machine. */
+    static final class Task {
+        final String job;
+        final int number;
+        final int attempt;
+        Phase phase = Phase.FETCHING;
+        End end;
+        long until;
+
+        Task(String job, int number, int attempt) {
+            this.job = job;
+            this.number = number;
+            this.attempt = attempt;
+        }
+
+        /** True while the task counts as being on its machine. */
+        boolean on() {
+            return phase == Phase.RUNNING || phase == Phase.SAVING;
+        }
+    }
+
+    final World world;
+    final String name;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    boolean gone;
+    boolean up;
+    boolean sick;
+    boolean cut;
+    long hangsUntil;
+    private final long rentedAt;
+    final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private long session = 1;
+    private long sequence;
+    private long seal;
+    private long leaseFrom;
+    private String reportTo;
+    private boolean inFlight;
+    private long nextReport;
+    private final Map<String, Integer> nothing = new HashMap<>();
+
+    SimWorker(World world, String name, MachineType type, String zone, boolean spot) {
+        this.world = world;
+        this.name = name;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.rentedAt = world.now();
+    }
+
+    void boot() {
+        if (!gone && !up) {
+            up = true;
+            leaseFrom = world.now();
+            step();
+        }
+    }
+
+    /** Dead without a word, as a spot machine that is taken. */
+    void vanish() {
+        gone = true;
+        tasks.clear();
+    }
+
+    ListedMachine listed() {
+        return new ListedMachine(name, name + ":1", type.name(), zone, spot,
+                up ? ListedMachine.State.RUNNING : ListedMachine.State.STARTING, (world.now() - rentedAt) / 1000.0);
+    }
+
+    private boolean awake() {
+        return !gone && world.now() >= hangsUntil;
+    }
+
+    /** Runs a command now, or when the machine no longer hangs; nothing reaches one that is cut off. */
+    void whenAwake(Runnable answer, Runnable command) {
+        if (gone || !up) {
+            return;
+        }
+        if (cut || world.now() < hangsUntil) {
+            held.add(() -> {
+                command.run();
+                answer.run();
+            });
+            return;
+        }
+        command.run();
+        answer.run();
+    }
+
+    private void step() {
+        if (gone) {
+            return;
+        }
+        world.after(100, this::step);
+        if (!awake()) {
+            return;
+        }
+        if (world.now() - leaseFrom > world.settings.leaseS() * 1000) {
+            tasks.clear();
+            session++;
+            leaseFrom = world.now();
+            reportTo = null;
+        }
+        if (!cut) {
+            List<Runnable> late = List.copyOf(held);
+            held.clear();
+            late.forEach(Runnable::run);
+        }
+        for (Task t : List.copyOf(tasks.values())) {
+            if (t.phase == Phase.FETCHING && world.now() >= t.until) {
+                begin(t);
+            } else if (t.phase == Phase.RUNNING && world.now() >= t.until) {
+                exit(t, sick ? End.ERROR : End.DONE);
+            } else if (t.phase == Phase.SAVING && world.now() >= t.until) {
+                exit(t, End.STOPPED);
+            }
+        }
+        if (!inFlight && world.now() >= nextReport) {
+            sendReport();
+        }
+    }
+
+    private void begin(Task t) {
+        if (world.checker.doneTask(t.job, t.number)) {
+            exit(t, End.DONE);
+            return;
+        }
+        t.phase = Phase.RUNNING;
+        t.until = world.now() + (sick ? 200 : (long) (world.users.job(t.job).estimateS() * world.between(500, 1500)));
+        world.trace("start " + t.job + "/" + t.number + " #" + t.attempt + " on " + name);
+        world.checker.started(this, t);
+        changed();
+    }
+
+    private void exit(Task t, End end) {
+        t.phase = Phase.EXITED;
+        t.end = end;
+        world.trace("exit " + t.job + "/" + t.number + " #" + t.attempt + " on " + name + " " + end);
+        if (end == End.DONE) {
+            world.checker.finished(t.job, t.number);
+        }
+        changed();
+    }
+
+    private void changed() {
+        nextReport = Math.min(nextReport, world.now() + 500);
+    }
+
+    Report report() {
+        List<TaskState> states = new ArrayList<>();
+        for (Task t : tasks.values()) {
+            states.add(new TaskState(t.job, t.number, t.attempt, t.phase, t.end, false));
+        }
+        return new Report(name, name + ":1", type.name(), zone, spot, session, ++sequence, seal, Double.NaN, states);
+    }
+
+    private void sendReport() {
+        nextReport = world.now() + (long) (world.settings.reportS() * world.between(750, 1250));
+        List<SimNode> nodes = List.copyOf(world.nodes.values());
+        if (reportTo == null) {
+            reportTo = nodes.get(world.random.nextInt(nodes.size())).name;
+        }
+        SimNode node = world.nodes.get(reportTo);
+        Report sent = report();
+        long sentAt = world.now();
+        long of = session;
+        inFlight = true;
+        boolean[] over = {false};
+        world.after(4000, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                inFlight = false;
+                elsewhere(nodes);
+            }
+        });
+        if (cut || node.cutFromWorkers || !node.alive) {
+            return;
+        }
+        world.deliver(() -> {
+            if (!node.alive) {
+                return;
+            }
+            node.report(sent, answer -> world.deliver(() -> {
+                if (over[0] || gone || cut || node.cutFromWorkers || !awake()) {
+                    return;
+                }
+                over[0] = true;
+                inFlight = false;
+                answered(answer, sentAt, of, nodes);
+            }));
+        });
+    }
+
+    private void elsewhere(List<SimNode> nodes) {
+        reportTo = nodes.get(world.random.nextInt(nodes.size())).name;
+        nextReport = world.now() + 1000;
+    }
+
+    private void answered(SimNode.ReportAnswer answer, long sentAt, long of, List<SimNode> nodes) {
+        if (answer.status() == 421 && answer.node() != null && !answer.node().equals(reportTo)) {
+            reportTo = answer.node();
+            nextReport = world.now() + world.between(0, 500);
+            return;
+        }
+        if (answer.status() != 200) {
+            elsewhere(nodes);
+            return;
+        }
+        if (answer.token() < seal && world.broken != World.Broken.WORKER_TOKEN || of != session) {
+            return;
+        }
+        leaseFrom = Math.max(leaseFrom, sentAt);
+        see(answer.token());
+        answer.orders().forEach(this::execute);
+    }
+
+    private void see(long token) {
+        if (token > seal) {
+            seal = token;
+            changed();
+        }
+    }
+
+    void command(Effect.Command e) {
+        boolean fits = e.token() >= seal || world.broken == World.Broken.WORKER_TOKEN;
+        if (gone || !fits || e.session() != session) {
+            return;
+        }
+        see(e.token());
+        e.orders().forEach(this::execute);
+    }
+
+    private void execute(Order o) {
+        String key = o.job() + "/" + o.task() + "#" + o.attempt();
+        Task t = tasks.get(key);
+        switch (o.kind()) {
+            case LAUNCH -> {
+                if (t == null) {
+                    launch(o, key);
+                }
+            }
+            case STOP -> {
+                if (t != null && t.phase != Phase.EXITED) {
+                    double save = world.users.job(o.job()).saveS();
+                    if (t.phase == Phase.RUNNING && save > 0 && o.graceS() >= save) {
+                        t.phase = Phase.SAVING;
+                        t.until = world.now() + (long) (save * 1000);
+                    } else if (t.phase != Phase.SAVING || o.graceS() == 0) {
+                        exit(t, End.STOPPED);
+                    }
+                }
+            }
+            case FORGET -> {
+                if (t != null && t.phase == Phase.EXITED) {
+                    tasks.remove(key);
+                }
+            }
+        }
+        changed();
+    }
+
+    private void launch(Order o, String key) {
+        Task t = new Task(o.job(), o.task(), o.attempt());
+        boolean busy = tasks.values().stream().anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
+        double used = 0;
+        for (Task x : tasks.values()) {
+            used += x.phase == Phase.EXITED ? 0 : world.users.job(x.job).cpus();
+        }
+        tasks.put(key, t);
+        if (busy || used + world.users.job(o.job()).cpus() > type.cpus() + 1e-9) {
+            t.phase = Phase.EXITED;
+            t.end = busy ? End.BUSY : End.NO_ROOM;
+        } else {
+            t.until = world.now() + world.between(0, 1500);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/sim/World.java
@@ -0,0 +1,115 @@
+package dewlane.sim;
+
+import dewlane.core.Settings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/** A seeded world of stand-ins with a clock of its own: nothing in it depends on real time. */
+final class World {
+    private record Event(long at, long order, Runnable action) { }
+
+    /** Guards that a test removes to show that the checker sees what they guard against. */
+    enum Broken { NONE, TEAM_GUARD, SLICE_GUARD, JOB_GUARD, MACHINE_GUARD, WORKER_TOKEN, FORGET_EARLY }
+
+    final long seed;
+    final Broken broken;
+    final SplittableRandom random;
+    final Settings settings;
+    final Checker checker;
+    final SimState state;
+    final SimCloud cloud;
+    final SimUsers users;
+    final Map<String, SimNode> nodes = new java.util.LinkedHashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final List<String> trace = new ArrayList<>();
+    private long order;
+    private long now;
+    /** Chance that a message is lost or late; 0 once the faults are over. */
+    double trouble = 0.02;
+
+    World(long seed, Settings settings, Broken broken) {
+        this.seed = seed;
+        this.broken = broken;
+        this.random = new SplittableRandom(seed);
+        this.settings = settings;
+        this.checker = new Checker(this);
+        this.state = new SimState(this);
+        this.cloud = new SimCloud(this);
+        this.users = new SimUsers(this);
+    }
+
+    long now() {
+        return now;
+    }
+
+    void after(long ms, Runnable action) {
+        events.add(new Event(now + ms, order++, action));
+    }
+
+    void every(long ms, Runnable action) {
+        after(ms, () -> {
+            action.run();
+            every(ms, action);
+        });
+    }
+
+    boolean chance(double p) {
+        return random.nextDouble() < p;
+    }
+
+    int between(int low, int high) {
+        return low + random.nextInt(high - low + 1);
+    }
+
+    void trace(String line) {
+        trace.add(now + " " + line);
+        if (trace.size() > 4000) {
+            trace.subList(0, 2000).clear();
+        }
+    }
+
+    String lately(String about) {
+        StringBuilder text = new StringBuilder();
+        trace.stream().filter(l -> l.contains(about)).forEach(l -> text.append(l).append('\n'));
+        return text.toString();
+    }
+
+    /** What stands in a job's way, for a failure's message. */
+    String describe(String job) {
+        StringBuilder text = new StringBuilder(String.valueOf(state.get(dewlane.core.Keys.job(job))));
+        state.all(dewlane.core.Keys.SLICES).forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
+        state.all(dewlane.core.Keys.MACHINES).forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
+        text.append('\n').append(state.get(dewlane.core.Keys.MAP));
+        cloud.machines.values().forEach(m -> text.append('\n').append(m.name).append(' ').append(m.type.name())
+                .append(' ').append(m.zone).append(m.spot ? " spot" : "").append(m.up ? " up" : "").append(m.gone ? " gone " : " ")
+                .append(m.tasks.keySet()));
+        trace.subList(Math.max(0, trace.size() - 40), trace.size()).forEach(l -> text.append('\n').append(l));
+        return text.toString();
+    }
+
+    /** One way of a message: quick mostly, and in trouble lost or minutes late. */
+    void deliver(Runnable action) {
+        if (chance(trouble)) {
+            if (chance(0.5)) {
+                after(between(2000, 90_000), action);
+            }
+            return;
+        }
+        after(between(1, 8), action);
+    }
+
+    void run(long untilMs) {
+        while (!events.isEmpty() && events.peek().at <= untilMs) {
+            Event e = events.poll();
+            now = e.at;
+            e.action.run();
+            checker.check();
+        }
+        now = untilMs;
+    }
+}
