--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -5,6 +5,7 @@
 import dewlane.core.Value.MachineFate;
 import dewlane.core.Value.MachineRecord;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,6 +25,8 @@
     private static final long DELETE_RETRY_MS = 6000;
     private static final long SCARCE_MS = 20_000;
     private static final long KEEP_GONE_MS = 60_000;
+    /** How much dearer a type counts that other jobs need more. */
+    private static final double RIVAL = 0.4;
 
     private record Rental(String type, String zone, boolean spot, int count, long at) { }
 
@@ -288,10 +291,11 @@
         }
         Map<JobEntry, Double> unmet = new LinkedHashMap<>();
         Map<String, double[]> more = new HashMap<>();
-        for (JobEntry job : replica.jobs()) {
-            if (job.job() == null || job.aborted() || machines.work(job.id).faulty()) {
-                continue;
-            }
+        List<JobEntry> jobs = new ArrayList<>(replica.jobs());
+        jobs.removeIf(j -> j.job() == null || j.aborted() || machines.work(j.id).faulty());
+        // Those with the fewest types to choose from come first, and the others take what they leave.
+        jobs.sort(Comparator.comparingInt(j -> machines.choices(j.job())));
+        for (JobEntry job : jobs) {
             Job spec = job.job();
             double[] added = more.computeIfAbsent(spec.team(), t -> new double[1]);
             int waiting = 0;
@@ -363,7 +367,7 @@
                             || scarceUntil.getOrDefault(place, 0L) > context.now()) {
                         continue;
                     }
-                    double cost = type.price(spot) / fits * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
+                    double cost = type.price(spot) / fits * (1 + RIVAL * machines.rivals(job, type)) * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
                     if (best == null || cost < bestCost) {
                         best = place;
                         bestCost = cost;
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -116,6 +116,32 @@
         return blamed >= 2;
     }
 
+    /** How many types the job's tasks fit on and may use. */
+    int choices(Job job) {
+        int n = 0;
+        for (MachineType t : types.values()) {
+            n += (job.types().isEmpty() || job.types().contains(t.name())) && t.fits(job) > 0 ? 1 : 0;
+        }
+        return n;
+    }
+
+    /**
+     * 1 if an active job with fewer types to choose from could use the type, so that this job had better go
+     * elsewhere; 0 if not.
+     */
+    int rivals(Job job, MachineType type) {
+        int choices = choices(job);
+        for (JobEntry other : replica.jobs()) {
+            Job o = other.job();
+            if (o != null && !other.aborted() && (o.cpus() != job.cpus() || o.memoryGb() != job.memoryGb())
+                    && type.fits(o) > 0 && (o.types().isEmpty() || o.types().contains(type.name()))
+                    && choices(o) < choices) {
+                return 1;
+            }
+        }
+        return 0;
+    }
+
     /** Recomputes what is on every machine. Attempts count until their end is durable. */
     void reindex() {
         replica.machines().forEach((name, entry) -> {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -23,6 +23,8 @@
 final class Placement {
     /** A larger set of machines is sampled, not searched. */
     private static final int SAMPLE = 64;
+    /** Seconds of fetching that are worth leaving a machine to tasks that have fewer types to choose from. */
+    private static final double RIVAL_S = 8;
 
     private final Context context;
     private final Replica replica;
@@ -286,6 +288,7 @@
                 continue;
             }
             double cost = (m.hasImage(spec.image()) ? 0 : spec.imageGb() / type.fetchGbPerS())
+                    + machines.rivals(spec, type) * RIVAL_S
                     + 2 * (type.cpus() - m.usedCpus - spec.cpus()) / type.cpus();
             if (best == null || cost < bestCost) {
                 best = m;
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -113,6 +113,9 @@
     }
 
     private void tick() {
+        if (worker.isShutdown()) {
+            return;
+        }
         thread.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
         accept(new Input.Tick());
     }
