--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -24,7 +24,10 @@
     private static final long LIST_MS = 2000;
     private static final long DELETE_RETRY_MS = 6000;
     private static final long SCARCE_MS = 20_000;
+    private static final int MOST_RETURNS = 4;
     private static final long KEEP_GONE_MS = 60_000;
+    /** Work of the lowest priority has ordinary machines rented for it only after such a wait. */
+    private static final long IDLE_PRIORITY_WAIT_MS = 60_000;
     /** How much dearer a type counts that other jobs need more. */
     private static final double RIVAL = 0.4;
 
@@ -82,6 +85,7 @@
     private long catalogAt = Long.MIN_VALUE;
     private long listAskedAt = Long.MIN_VALUE;
     private long ledSince;
+    private boolean planned;
 
     Fleet(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
           Placement placement, Quota quota) {
@@ -104,6 +108,7 @@
         }
         if (!membership.leads()) {
             ledSince = 0;
+            planned = false;
             listed.clear();
             booting.clear();
             rentals.clear();
@@ -124,7 +129,9 @@
         carryOut();
         condemnLate();
         // A new leader first waits for a list, which shows what its predecessor rented.
-        if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000) {
+        if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000
+                || replica.map().epoch() <= replica.map().members().size()) {
+            planned = true;
             Map<JobEntry, Double> unmet = unmet();
             rent(unmet);
             returnIdle(unmet.isEmpty() ? 1 : 3);
@@ -240,6 +247,9 @@
                 scarceUntil.put(place, context.now() + 3000);
             }
         }
+        if (planned && membership.leads()) {
+            rent(unmet());
+        }
     }
 
     /** Machines that did not come up in good time are charged for nothing. */
@@ -363,7 +373,7 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Place place = new Place(type.name(), zone, spot);
-                    if (fits < 1 || !job.allows(type.name(), zone, spot)
+                    if (fits < 1 || !job.allows(type.name(), zone, spot) || (!spot && !worthOrdinary(job))
                             || scarceUntil.getOrDefault(place, 0L) > context.now()) {
                         continue;
                     }
@@ -378,22 +388,26 @@
         return best;
     }
 
+    private boolean worthOrdinary(Job job) {
+        return job.priority() != Priority.IDLE || !job.spot()
+                || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
+    }
+
+    /** Idle machines go back; the dear ones first, and ordinary ones after a shorter wait than spot ones. */
     private void returnIdle(int patience) {
         long idleMs = (long) (context.settings().tuning().idleS() * 1000 * patience);
-        Machine longest = null;
+        List<Machine> idle = new ArrayList<>();
         for (String name : listed.keySet()) {
             Machine m = machines.get(name);
-            if (m == null || !up.contains(name) || !m.live.isEmpty() || replica.machines().containsKey(name)
-                    || writing.contains(name) || context.now() - m.idleSince < idleMs) {
-                continue;
-            }
-            if (longest == null || price(m) > price(longest)) {
-                longest = m;
+            if (m != null && up.contains(name) && m.live.isEmpty() && !replica.machines().containsKey(name)
+                    && !writing.contains(name) && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
+                idle.add(m);
             }
         }
-        if (longest != null) {
-            context.info("returning idle machine " + longest.name);
-            record(longest.name, MachineFate.RETURN, "idle");
+        idle.sort(Comparator.comparingDouble(this::price).reversed());
+        for (Machine m : idle.subList(0, Math.min(MOST_RETURNS, idle.size()))) {
+            context.info("returning idle machine " + m.name);
+            record(m.name, MachineFate.RETURN, "idle");
         }
     }
 
