--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -393,14 +393,14 @@
                 || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
     }
 
-    /** Idle machines go back; the dear ones first, and ordinary ones after a shorter wait than spot ones. */
+    /** Idle machines go back; the dear ones first. */
     private void returnIdle(int patience) {
         long idleMs = (long) (context.settings().tuning().idleS() * 1000 * patience);
         List<Machine> idle = new ArrayList<>();
         for (String name : listed.keySet()) {
             Machine m = machines.get(name);
             if (m != null && up.contains(name) && m.live.isEmpty() && !replica.machines().containsKey(name)
-                    && !writing.contains(name) && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
+                    && !writing.contains(name) && context.now() - m.idleSince >= idleMs) {
                 idle.add(m);
             }
         }
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -94,7 +94,9 @@
                 order.add(job);
             }
         }
-        order.sort(Comparator.comparing((JobEntry j) -> j.job().priority()).reversed());
+        Set<String> guaranteed = quota.guaranteed(order);
+        order.sort(Comparator.comparing((JobEntry j) -> guaranteed.contains(j.id))
+                .thenComparing(j -> j.job().priority()).reversed());
         for (JobEntry job : order) {
             step(job, launches);
         }
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -1,7 +1,11 @@
 package dewlane.core;
 
+import dewlane.core.Replica.JobEntry;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Keeps every team within its limit.
@@ -45,13 +49,27 @@
         return max <= 0 || each <= 0 ? Integer.MAX_VALUE : Math.max(0, Math.floor((max - used) / each + 1e-9));
     }
 
-    /** True if the team's use stays within its guarantee with the given number of further tasks. */
-    boolean guaranteed(Job job, int more) {
-        Settings.Team team = team(job);
-        double[] use = machines.use(job.team());
-        return team != null && (team.cpus() > 0 || team.gpus() > 0)
-                && use[0] + more * job.cpus() <= team.cpus() + 1e-9
-                && use[1] + more * job.gpus() <= team.gpus() + 1e-9;
+    /**
+     * The jobs that fit into their team's guarantee along with the team's earlier unfinished jobs.
+     *
+     * @param ready unfinished jobs in ready order
+     */
+    Set<String> guaranteed(List<JobEntry> ready) {
+        Map<String, double[]> sums = new HashMap<>();
+        Set<String> within = new HashSet<>();
+        for (JobEntry entry : ready) {
+            Job job = entry.job();
+            Settings.Team team = team(job);
+            if (team != null && (team.cpus() > 0 || team.gpus() > 0)) {
+                double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
+                sum[0] += job.tasks() * job.cpus();
+                sum[1] += job.tasks() * job.gpus();
+                if (sum[0] <= team.cpus() + 1e-9 && sum[1] <= team.gpus() + 1e-9) {
+                    within.add(entry.id);
+                }
+            }
+        }
+        return within;
     }
 
     void add(Job job) {
