--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -35,6 +35,7 @@
     private final Quota quota;
     private final Dealer dealer;
     private final Attempts attempts;
+    private final Preemption preemption;
     private final String self;
     private final int maxLive;
     private List<Machine> usable = List.of();
@@ -50,6 +51,7 @@
         this.quota = quota;
         this.dealer = dealer;
         this.attempts = attempts;
+        this.preemption = new Preemption(context, machines, quota);
         this.self = context.settings().node();
         this.maxLive = Math.max(8, context.settings().valueBytes() / 200);
     }
@@ -97,6 +99,7 @@
         Set<String> guaranteed = quota.guaranteed(order);
         order.sort(Comparator.comparing((JobEntry j) -> guaranteed.contains(j.id))
                 .thenComparing(j -> j.job().priority()).reversed());
+        preemption.begin(usable, guaranteed);
         for (JobEntry job : order) {
             step(job, launches);
         }
@@ -252,18 +255,24 @@
                 m.use(spec);
                 quota.add(spec);
             }
+            int unplaced = value.count() - value.done().cardinality() - live.size();
+            boolean handed = false;
             if (live.size() > value.attempts().size()) {
                 next.put(slice, new Slice(self, value.first(), value.count(), number, value.done(), List.copyOf(live)));
             } else if (stuck && quota.room(spec) > 0 && launched.isEmpty()
                     && context.now() - work.handedAt > 2000) {
                 String to = dealer.better(spec, self);
-                if (to != null) {
+                handed = to != null;
+                if (handed) {
                     work.handedAt = context.now();
                     context.debug("handing " + slice.key + " to " + to);
                     next.put(slice, new Slice(to, value.first(), value.count(), value.launches(), value.done(),
                             value.attempts()));
                 }
             }
+            if (stuck && !handed) {
+                preemption.makeRoom(job, Math.min(unplaced, quota.room(spec)));
+            }
         }
         if (!launched.isEmpty()) {
             // A cancelled job, a slice dealt anew, a machine being returned or a newer map each stop the launch here.
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -72,6 +72,13 @@
         return within;
     }
 
+    /** True if the team uses more than its guarantee. */
+    boolean borrows(Job job) {
+        Settings.Team team = team(job);
+        double[] use = machines.use(job.team());
+        return team == null || use[0] > team.cpus() + 1e-9 || use[1] > team.gpus() + 1e-9;
+    }
+
     void add(Job job) {
         double[] use = machines.use(job.team());
         use[0] += job.cpus();
