--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -26,6 +26,8 @@
     private static final long SCARCE_MS = 20_000;
     private static final int MOST_RETURNS = 4;
     private static final long KEEP_GONE_MS = 60_000;
+    /** A machine rented for a task is there for about so long; shorter tasks share its room one after the other. */
+    private static final double SLOT_S = 80;
     /** Work of the lowest priority has ordinary machines rented for it only after such a wait. */
     private static final long IDLE_PRIORITY_WAIT_MS = 60_000;
     /** How much dearer a type counts that other jobs need more. */
@@ -330,7 +332,7 @@
                 // do, the smallest demand still needs one, or the job would wait for ever.
                 boolean hosted = bins.stream().anyMatch(b ->
                         spec.allows(b.type.name(), b.zone, b.spot) && b.type.fits(spec) > 0);
-                double slots = left * Math.min(1, Math.max(0.1, spec.estimateS() / 40));
+                double slots = left * Math.min(1, Math.max(0.1, spec.estimateS() / SLOT_S));
                 unmet.put(job, hosted ? slots : Math.max(slots, mostOnOne(spec)));
             }
         }
@@ -393,14 +395,14 @@
                 || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
     }
 
-    /** Idle machines go back; the dear ones first. */
+    /** Idle machines go back; the dear ones first, and ordinary ones after half the wait. */
     private void returnIdle(int patience) {
         long idleMs = (long) (context.settings().tuning().idleS() * 1000 * patience);
         List<Machine> idle = new ArrayList<>();
         for (String name : listed.keySet()) {
             Machine m = machines.get(name);
             if (m != null && up.contains(name) && m.live.isEmpty() && !replica.machines().containsKey(name)
-                    && !writing.contains(name) && context.now() - m.idleSince >= idleMs) {
+                    && !writing.contains(name) && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
                 idle.add(m);
             }
         }
