--- a/src/main/java/dewlane/cli/DeployFile.java
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -1,10 +1,13 @@
 package dewlane.cli;
 
 import dewlane.core.Settings;
+import dewlane.core.Settings.Objective;
 import dewlane.core.Settings.Team;
 import dewlane.core.Settings.Tuning;
 import dewlane.io.Endpoints;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The settings file that a deployment gives each controller, and the operators' own beside it. */
@@ -35,8 +38,10 @@
             teams.put(t.text("name"), new Team(t.text("name"), t.number("cpus", 0, 0), t.number("gpus", 0, 0),
                     t.number("cpus_max", 0, 0), t.number("gpus_max", 0, 0)));
         }
+        List<Objective> objectives = new ArrayList<>();
         for (TomlFile objective : all.tables("objectives")) {
-            objective.text("kind");
+            objectives.add(new Objective(objective.text("kind"), objective.has("class") ? objective.text("class") : null,
+                    objective.number("within_s", 0, Double.POSITIVE_INFINITY)));
         }
         TomlFile workers = all.table("workers");
         TomlFile state = all.table("state");
@@ -46,7 +51,7 @@
         resources.positive("ram_mb");
         resources.count("max_sockets", 1);
         Settings settings = new Settings(top.text("node_name"), endpoints.peerNames(), Map.copyOf(teams),
-                all.texts("zones"), workers.positive("report_s"), workers.positive("lease_s"),
+                List.copyOf(objectives), all.texts("zones"), workers.positive("report_s"), workers.positive("lease_s"),
                 workers.positive("cancel_s"), state.positive("rps"), state.positive("write_rps"),
                 (int) (1024 * state.positive("value_kb")), state.count("txn_ops", 8),
                 cloud.positive("rps"), cloud.number("list_lag_s", 0), tuning);
--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -39,7 +39,8 @@
     }
 
     private static Settings settings() {
-        return new Settings("self", List.of(), Map.of("team", new Settings.Team("team", 1, 0, 2, 0)), List.of("zone"),
+        return new Settings("self", List.of(), Map.of("team", new Settings.Team("team", 1, 0, 2, 0)), List.of(),
+                List.of("zone"),
                 3, 30, 60, 100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults());
     }
 
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -13,8 +13,10 @@
  * work of another team. It weighs the work that is lost, and keeps the room for the job that it was made for.
  */
 final class Preemption {
-    /** A job waits this long for room to come by itself. */
-    private static final long WAIT_MS = 1000;
+    /** The part of the time it may wait for which a job waits for room to come by itself. */
+    private static final double PATIENCE = 0.3;
+    /** A task is left alone once its job has used this part of the time in which it should be done. */
+    private static final double SPARE = 0.5;
 
     private final Context context;
     private final Machines machines;
@@ -54,7 +56,7 @@
     /** Keeps room for up to the given number of tasks, and stops what may be stopped for the rest. */
     void makeRoom(Replica.JobEntry job, int tasks) {
         Job spec = job.job();
-        if (spec.placesLinked() || context.wall() - spec.acceptedMs() < WAIT_MS) {
+        if (spec.placesLinked() || ageS(spec) < patienceS(job)) {
             return;
         }
         for (int i = 0; i < tasks; i++) {
@@ -86,6 +88,24 @@
         }
     }
 
+    private double ageS(Job job) {
+        return (context.wall() - job.acceptedMs()) / 1000.0;
+    }
+
+    /** How long the job waits before it stops others, by what its users expect of its start and end. */
+    private double patienceS(Replica.JobEntry entry) {
+        Job job = entry.job();
+        Settings aims = context.settings();
+        double may = Math.min(aims.within("wait", job.lot()), aims.within("finished", job.lot()));
+        if (guaranteed.contains(entry.id)) {
+            may = Math.min(may, aims.within("guarantee", job.lot()));
+        }
+        if (job.deadlineS() > 0) {
+            may = Math.min(may, job.deadlineS() - job.estimateS());
+        }
+        return Math.min(30, Math.max(1, PATIENCE * may));
+    }
+
     private boolean fits(Machine m, Job spec, List<Live> without) {
         MachineType type = machines.type(m.type);
         double[] room = coming.getOrDefault(m, new double[3]);
@@ -121,7 +141,7 @@
 
     private boolean mayStop(Live l, Replica.JobEntry job) {
         Job theirs = l.job().job();
-        if (l.job().aborted()) {
+        if (l.job().aborted() || ageS(theirs) > SPARE * context.settings().within("finished", theirs.lot())) {
             return false;
         }
         if (theirs.priority().compareTo(job.job().priority()) < 0) {
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -4,7 +4,8 @@
 import java.util.Map;
 
 /** The deploy file and the operators' own settings, as far as the core needs them. */
-public record Settings(String node, List<String> peers, Map<String, Team> teams, List<String> zones,
+public record Settings(String node, List<String> peers, Map<String, Team> teams, List<Objective> objectives,
+                       List<String> zones,
                        double reportS, double leaseS, double cancelS,
                        double stateRps, double stateWriteRps, int valueBytes, int txnOps,
                        double cloudRps, double listLagS, Tuning tuning) {
@@ -16,6 +17,20 @@
         }
     }
 
+    /** An aim of the users for a class of jobs; {@code lot} is null if it is for all. */
+    public record Objective(String kind, String lot, double withinS) { }
+
+    /** The shortest time that an aim of the kind gives jobs of the class, or infinity. */
+    public double within(String kind, String lot) {
+        double least = Double.POSITIVE_INFINITY;
+        for (Objective o : objectives) {
+            if (o.kind().equals(kind) && (o.lot() == null || o.lot().equals(lot))) {
+                least = Math.min(least, o.withinS());
+            }
+        }
+        return least;
+    }
+
     /**
      * What operators may change.
      *
--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -22,7 +22,7 @@
     private static Settings settings() {
         return new Settings("none", List.of("n0", "n1", "n2"),
                 Map.of("blue", new Settings.Team("blue", 6, 0, 12, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
-                List.of("east", "west"), 3, 20, 50, 150, 60, 16_384, 16, 10, 3,
+                List.of(new Settings.Objective("finished", null, 60)), List.of("east", "west"), 3, 20, 50, 150, 60, 16_384, 16, 10, 3,
                 new Settings.Tuning(3000, 9, 20, 4));
     }
 
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -49,7 +49,7 @@
 
     private dewlane.core.Settings settingsOf(String node) {
         dewlane.core.Settings s = world.settings;
-        return new dewlane.core.Settings(node, s.peers(), s.teams(), s.zones(), s.reportS(), s.leaseS(), s.cancelS(),
+        return new dewlane.core.Settings(node, s.peers(), s.teams(), s.objectives(), s.zones(), s.reportS(), s.leaseS(), s.cancelS(),
                 s.stateRps(), s.stateWriteRps(), s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.tuning());
     }
 
