Machines that cannot reach their controller move to one that hears them

Now: /healthz fails while peers reach the state service and this one does not; a condemnation is conditional on the map; a worker that its owner no longer hears is taken over through the map; a controller that a peer shows a newer map answers no reports.

--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -49,7 +49,7 @@
         Controller controller = new Controller(settings(), 1);
         Job job = new Job("wk-1", "lot", "team", Priority.HIGH, 2, 1, 0, 1, "image", 1, List.of(), null,
                 false, false, true, 10, 0, 0, 0, 0);
-        Value map = new Value.ClusterMap(1, List.of(new Value.Member("self", 1)));
+        Value map = new Value.ClusterMap(1, List.of(new Value.Member("self", 1)), Map.of());
         Value slice = new Value.Slice("self", 0, 2, 0, new BitSet(), List.of(new Attempt(1, 1, "m", 1, 1, 1)));
         List<Input> inputs = List.of(new Input.Tick(), new Input.LeaseGranted(1), new Input.StateListed(List.of(), 1, 1),
                 new Input.CatalogRead(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -50,13 +50,16 @@
      * workers' leases run out while there is still time for that before the cancellation must have ended.
      */
     void report(long id, Report r) {
-        if (!membership.joined() || membership.silence() > trustMs()) {
+        if (!membership.joined() || membership.superseded() || membership.silence() > trustMs()) {
             refuse(id);
             return;
         }
         String owner = Parts.owner(replica.map(), r.machine());
         if (!self.equals(owner)) {
-            if (id != 0) {
+            if (id != 0 && cannotReach(owner, r)) {
+                membership.claim(r.machine());
+                refuse(id);
+            } else if (id != 0) {
                 context.emit(new Effect.RedirectReport(id, owner));
             }
             return;
@@ -73,6 +76,26 @@
         }
     }
 
+    /**
+     * A worker that turns up here although its owner lives cannot reach that owner: the owner no longer hears it, or it
+     * was sent there already and has come back. Without this, a cut between them lasts until its lease has run out.
+     */
+    private boolean cannotReach(String owner, Report r) {
+        Machine m = machines.learn(r.machine(), r.address(), r.type(), r.zone(), r.spot());
+        if (m == null || membership.silence() > 2000) {
+            return false;
+        }
+        PeerStatus peer = machines.peer(owner);
+        boolean dropped = owner.equals(m.listedBy) && peer != null
+                && peer.machines().stream().noneMatch(p -> p.name().equals(m.name));
+        long strayed = context.now() - m.strayedAt;
+        if (m.strayedAt == 0 || strayed > 20_000) {
+            m.strayedAt = context.now();
+            return dropped;
+        }
+        return dropped || strayed > 3500;
+    }
+
     private long trustMs() {
         Settings s = context.settings();
         return (long) (1000 * Math.max(2, s.cancelS() - s.leaseS() - 10));
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -67,6 +67,14 @@
         return loaded && membership.joined() && !machines.types().isEmpty();
     }
 
+    /**
+     * True if users had better be sent here: not while this controller alone cannot reach the state service. In an
+     * outage for all it stays true, since no other would serve better.
+     */
+    public boolean healthy() {
+        return ready() && (membership.silence() < 2500 || !machines.peersReachState());
+    }
+
     private void take(Input input) {
         if (input instanceof Input.Tick) {
             tick();
@@ -122,6 +130,7 @@
             fleet.deleted(in);
         } else if (input instanceof Input.PeerHeard in) {
             machines.peer(in.status());
+            membership.peerEpoch(in.status().epoch());
         }
     }
 
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -69,7 +69,8 @@
     private void condemn(Machine m, String reason) {
         context.info("machine " + m.name + " is " + reason + ", to be deleted with " + m.live.size() + " tasks on it");
         asking.add(m.name);
-        Txn txn = new Txn.Builder().when(Keys.machine(m.name), 0)
+        // Conditional on the map: one that was cut off must not condemn what others have taken over and hear.
+        Txn txn = new Txn.Builder().when(Keys.machine(m.name), 0).when(Keys.MAP, replica.mapVersion())
                 .set(Keys.machine(m.name), new MachineRecord(MachineFate.DELETE, reason)).build();
         journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> asking.remove(m.name));
     }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -34,6 +34,10 @@
     long sequence;
     long seal;
     long heardAt;
+    /** The peer that last said it hears the machine. */
+    String listedBy;
+    /** When the machine's worker first came here although another controller owns it. */
+    long strayedAt;
     /** When the cloud takes the machine away; 0: not announced. */
     long takenAt;
     Map<Key, Report.TaskState> reported = Map.of();
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -94,12 +94,20 @@
         peersHeardAt.put(status.node(), context.now());
         for (PeerStatus.PeerMachine p : status.machines()) {
             Machine m = learn(p.name(), p.address(), p.type(), p.zone(), p.spot());
+            if (m != null) {
+                m.listedBy = status.node();
+            }
             if (m != null && m.heardAt == 0) {
                 m.session = Math.max(m.session, p.session());
             }
         }
     }
 
+    /** True if a peer said within the last few seconds that it reaches the state service. */
+    boolean peersReachState() {
+        return peers.keySet().stream().anyMatch(node -> peer(node) != null && peer(node).stateReachable());
+    }
+
     /** What a peer said within the last few seconds, or null. */
     PeerStatus peer(String node) {
         Long at = peersHeardAt.get(node);
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -5,8 +5,10 @@
 import dewlane.core.Value.Presence;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -17,11 +19,15 @@
  * never used.
  */
 public final class Membership {
+    /** A machine that is dropped from those moved falls back to its part by hash; the map's value stays small. */
+    private static final int MOST_MOVED = 200;
+
     private final Context context;
     private final Replica replica;
     private final Journaller journaller;
     private final String self;
     private final Map<String, Long> missingSince = new HashMap<>();
+    private final Set<String> claims = new HashSet<>();
     private long lease;
     private boolean leaseAsked;
     private long touchedAt;
@@ -31,6 +37,7 @@
     private long writtenAt;
     private long joinedAs;
     private long contactAt;
+    private long newerSince;
 
     Membership(Context context, Replica replica, Journaller journaller) {
         this.context = context;
@@ -62,6 +69,19 @@
         return false;
     }
 
+    /** True if a peer has shown a newer map for longer than the watch should take, so that this one is out of date. */
+    boolean superseded() {
+        return newerSince != 0 && context.now() - newerSince > 1000;
+    }
+
+    void peerEpoch(long epoch) {
+        if (replica.map() == null || epoch <= replica.map().epoch()) {
+            newerSince = 0;
+        } else if (newerSince == 0) {
+            newerSince = context.now();
+        }
+    }
+
     boolean leads() {
         return joined() && self.equals(Parts.leader(replica.map()));
     }
@@ -102,6 +122,9 @@
                 join();
             } else {
                 evictMissing();
+                if (!writing) {
+                    takeOver();
+                }
             }
         }
     }
@@ -113,7 +136,7 @@
                 : map.members().stream().filter(m -> !m.name().equals(self)).collect(Collectors.toCollection(ArrayList::new));
         members.add(new Member(self, epoch));
         write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
-                .set(Keys.MAP, new ClusterMap(epoch, List.copyOf(members)))
+                .set(Keys.MAP, next(epoch, members, Map.of()))
                 .setLeased(Keys.presence(self), new Presence(epoch), lease).build(), epoch);
     }
 
@@ -145,8 +168,39 @@
         }
         if (left.size() < map.members().size()) {
             missingSince.clear();
-            write(txn.set(Keys.MAP, new ClusterMap(map.epoch() + 1, List.copyOf(left))).build(), joinedAs);
+            write(txn.set(Keys.MAP, next(map.epoch() + 1, left, Map.of())).build(), joinedAs);
+        }
+    }
+
+    /** Takes a machine over that cannot reach its owner; the map says so as soon as it can be written. */
+    void claim(String machine) {
+        claims.add(machine);
+    }
+
+    private void takeOver() {
+        ClusterMap map = replica.map();
+        claims.removeIf(m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
+        if (!claims.isEmpty()) {
+            context.info("taking over machines that cannot reach their controller: " + claims);
+            Map<String, String> claimed = new HashMap<>();
+            claims.forEach(m -> claimed.put(m, self));
+            claims.clear();
+            write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
+                    .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed)).build(), joinedAs);
+        }
+    }
+
+    private ClusterMap next(long epoch, List<Member> members, Map<String, String> claimed) {
+        Map<String, String> moved = new HashMap<>(claimed);
+        if (replica.map() != null) {
+            replica.map().moved().forEach((machine, taker) -> {
+                boolean there = members.stream().anyMatch(m -> m.name().equals(taker));
+                if (there && !replica.machines().containsKey(machine) && moved.size() < MOST_MOVED) {
+                    moved.putIfAbsent(machine, taker);
+                }
+            });
         }
+        return new ClusterMap(epoch, List.copyOf(members), Map.copyOf(moved));
     }
 
     private void write(Txn txn, long incarnation) {
--- a/src/main/java/dewlane/core/Parts.java
+++ b/src/main/java/dewlane/core/Parts.java
@@ -17,6 +17,10 @@
         if (map == null) {
             return null;
         }
+        String taker = map.moved().get(name);
+        if (taker != null && map.has(taker)) {
+            return taker;
+        }
         String best = null;
         long bestWeight = 0;
         for (Member member : map.members()) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -59,7 +59,7 @@
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
         return m.type != null && machines.type(m.type) != null && m.takenAt == 0 && !machines.faulty(m)
-                && m.heardWithin(context.now(), (long) (context.settings().reportS() * 2400))
+                && m.heardWithin(context.now(), (long) (context.settings().reportS() * 1800))
                 && !replica.machines().containsKey(m.name) && attempts.owns(m.name);
     }
 
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -2,6 +2,7 @@
 
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 
 /** Everything dewlane keeps in the state service. Values are never changed in place. */
 public sealed interface Value {
@@ -43,8 +44,12 @@
         }
     }
 
-    /** The live controllers. Each change has a higher epoch. */
-    record ClusterMap(long epoch, List<Member> members) implements Value {
+    /**
+     * The live controllers. Each change has a higher epoch.
+     *
+     * @param moved machines that could not reach the controller of their part, and the one that took them over
+     */
+    record ClusterMap(long epoch, List<Member> members, Map<String, String> moved) implements Value {
         public boolean has(String name) {
             return members.stream().anyMatch(m -> m.name().equals(name));
         }
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -218,7 +218,7 @@
         if (path.equals("/healthz")) {
             if (!method.equals(Methods.GET)) {
                 send(exchange, 405, UserWire.error("use GET"));
-            } else if (controller.ready()) {
+            } else if (controller.healthy()) {
                 send(exchange, 200, UserWire.error("none"));
             } else {
                 send(exchange, 503, UserWire.error("not ready"));
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -141,6 +142,11 @@
                 out.writeNumberField(m.name(), m.incarnation());
             }
             out.writeEndObject();
+            out.writeObjectFieldStart("moved");
+            for (Map.Entry<String, String> e : v.moved().entrySet()) {
+                out.writeStringField(e.getKey(), e.getValue());
+            }
+            out.writeEndObject();
         } else if (value instanceof Value.Presence v) {
             out.writeNumberField("incarnation", v.incarnation());
         } else if (value instanceof Value.TeamRecord v) {
@@ -247,7 +253,9 @@
                 Json.object(in.get("members")).forEach((name, incarnation) ->
                         members.add(new Value.Member(name, ((Number) incarnation).longValue())));
                 members.sort((a, b) -> a.name().compareTo(b.name()));
-                return new Value.ClusterMap(Json.whole(in, "epoch"), List.copyOf(members));
+                Map<String, String> moved = new HashMap<>();
+                Json.object(in.get("moved")).forEach((machine, taker) -> moved.put(machine, (String) taker));
+                return new Value.ClusterMap(Json.whole(in, "epoch"), List.copyOf(members), Map.copyOf(moved));
             }
         } catch (IllegalArgumentException | NullPointerException | ClassCastException e) {
             throw new IOException("unreadable value of " + key, e);
