--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -86,7 +86,7 @@
             return false;
         }
         PeerStatus peer = machines.peer(owner);
-        boolean dropped = owner.equals(m.listedBy) && peer != null
+        boolean dropped = m.listedBy != null && m.listedBy.equals(machines.start(owner)) && peer != null
                 && peer.machines().stream().noneMatch(p -> p.name().equals(m.name));
         long strayed = context.now() - m.strayedAt;
         if (m.strayedAt == 0 || strayed > 20_000) {
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -14,6 +14,7 @@
     private final Journaller journaller;
     private final Attempts attempts;
     private final Set<String> asking = new HashSet<>();
+    private long incarnation;
 
     Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
            Attempts attempts) {
@@ -29,6 +30,11 @@
         if (!membership.joined() || membership.silence() > 2000) {
             return;
         }
+        if (membership.incarnation() != incarnation) {
+            // Silence from before it joined again says nothing: others may have heard the machines all the while.
+            incarnation = membership.incarnation();
+            machines.all().forEach(m -> m.since = context.now());
+        }
         int heard = 0;
         int silent = 0;
         long patience = (long) (context.settings().tuning().silentS() * 1000);
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -34,7 +34,7 @@
     long sequence;
     long seal;
     long heardAt;
-    /** The peer that last said it hears the machine. */
+    /** The start of a peer that last said it hears the machine. */
     String listedBy;
     /** When the machine's worker first came here although another controller owns it. */
     long strayedAt;
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -95,7 +95,7 @@
         for (PeerStatus.PeerMachine p : status.machines()) {
             Machine m = learn(p.name(), p.address(), p.type(), p.zone(), p.spot());
             if (m != null) {
-                m.listedBy = status.node();
+                m.listedBy = start(status.node());
             }
             if (m != null && m.heardAt == 0) {
                 m.session = Math.max(m.session, p.session());
@@ -103,6 +103,16 @@
         }
     }
 
+    /** Names this start of a controller: one that restarted has not heard its machines yet. */
+    String start(String node) {
+        for (Value.Member member : replica.map() == null ? List.<Value.Member>of() : replica.map().members()) {
+            if (member.name().equals(node)) {
+                return node + "@" + member.incarnation();
+            }
+        }
+        return null;
+    }
+
     /** True if a peer said within the last few seconds that it reaches the state service. */
     boolean peersReachState() {
         return peers.keySet().stream().anyMatch(node -> peer(node) != null && peer(node).stateReachable());
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -69,6 +69,11 @@
         return false;
     }
 
+    /** The epoch at which this controller last joined. */
+    long incarnation() {
+        return joinedAs;
+    }
+
     /** True if a peer has shown a newer map for longer than the watch should take, so that this one is out of date. */
     boolean superseded() {
         return newerSince != 0 && context.now() - newerSince > 1000;
--- /dev/null
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -0,0 +1,161 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Value.ClusterMap;
+import dewlane.core.Value.JobRecord;
+import dewlane.core.Value.Member;
+import dewlane.core.Value.Presence;
+import dewlane.core.Value.Slice;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One core, message by message. */
+class ControllerTest {
+    private static final MachineType BOX = new MachineType("box", 4, 0, 16, 20, 1, 0.2, 0.1, 30, List.of("east"));
+
+    private final Controller controller = new Controller(new Settings("n0", List.of("n1"),
+            Map.of("blue", new Settings.Team("blue", 0, 0, 4, 0)), List.of(), List.of("east"), 3, 30, 60, 100, 100,
+            16_384, 16, 5, 5, Settings.Tuning.defaults()), 1);
+    private final List<Effect> effects = new ArrayList<>();
+    private long now;
+    private long revision = 10;
+
+    private void hear(long afterMs, Input input) {
+        now += afterMs;
+        effects.addAll(controller.handle(now, now, input));
+    }
+
+    private void change(String key, Value value) {
+        revision++;
+        hear(60, new Input.Changes(List.of(new Input.Change(key, value, revision)), revision));
+    }
+
+    private <T extends Effect> List<T> take(Class<T> kind) {
+        List<T> found = effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+        effects.clear();
+        return found;
+    }
+
+    private Report report(long session, long sequence, long token) {
+        return new Report("m1", "h:1", "box", "east", true, session, sequence, token, Double.NaN, List.of());
+    }
+
+    private static Job job(int tasks, double cpus) {
+        return new Job("wk-1", "lot", "blue", Priority.HIGH, tasks, cpus, 0, 1, "image", 1, List.of(), null,
+                false, false, true, 10, 0, 0, 0, 1);
+    }
+
+    @BeforeEach
+    void join() {
+        hear(0, new Input.Tick());
+        hear(10, new Input.LeaseGranted(7));
+        hear(10, new Input.StateListed(List.of(), revision, revision));
+        hear(10, new Input.CatalogRead(List.of(BOX)));
+        hear(100, new Input.Tick());
+        Effect.SendTxn txn = take(Effect.SendTxn.class).get(0);
+        revision++;
+        hear(5, new Input.TxnAnswer(txn.id(), Txn.Status.COMMITTED, revision));
+        hear(5, new Input.Changes(List.of(
+                new Input.Change(Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
+                new Input.Change(Keys.presence("n0"), new Presence(1), revision)), revision));
+        assertTrue(controller.ready());
+        effects.clear();
+    }
+
+    @Test
+    void aLaunchIsWrittenBeforeItIsCommandedAndOnlyThen() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        change(Keys.job("wk-1"), new JobRecord(job(2, 1), 0));
+        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 2, 0, new BitSet(), List.of()));
+        hear(100, new Input.Tick());
+        assertEquals(0, effects.stream().filter(Effect.Command.class::isInstance).count());
+        Txn txn = take(Effect.SendTxn.class).get(0).txn();
+        List<String> guards = txn.when().stream().map(Txn.Guard::key).toList();
+        assertTrue(guards.containsAll(List.of(Keys.job("wk-1"), Keys.slice("wk-1", 0), Keys.MAP, Keys.machine("m1"),
+                Keys.team("blue"))), guards.toString());
+    }
+
+    @Test
+    void noMoreThanTheTeamsLimitIsLaunched() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        change(Keys.job("wk-1"), new JobRecord(job(9, 3), 0));
+        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 9, 0, new BitSet(), List.of()));
+        hear(100, new Input.Tick());
+        Txn txn = take(Effect.SendTxn.class).get(0).txn();
+        Slice written = (Slice) txn.apply().stream().filter(w -> w.key().startsWith(Keys.SLICES)).findFirst().orElseThrow().value();
+        assertEquals(1, written.attempts().size(), "3 of 4 CPUs are taken by the first task");
+    }
+
+    @Test
+    void onlyAHigherTokenOrALaterSessionProvesAnAttemptGone() {
+        long token = 1L << 20;
+        hear(60, new Input.ReportReceived(1, report(1, 1, token)));
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), 0));
+        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
+        effects.clear();
+        hear(3000, new Input.ReportReceived(2, report(1, 2, token)));
+        hear(100, new Input.Tick());
+        assertEquals(List.of(), take(Effect.SendTxn.class), "a report that lacks a launch still on its way proves nothing");
+        hear(3000, new Input.ReportReceived(3, report(2, 3, token)));
+        hear(100, new Input.Tick());
+        List<Effect.SendTxn> written = take(Effect.SendTxn.class);
+        assertEquals(1, written.size(), "the worker's later session does");
+        Slice after = (Slice) written.get(0).txn().apply().stream()
+                .filter(w -> w.key().startsWith(Keys.SLICES)).findFirst().orElseThrow().value();
+        assertTrue(after.attempts().stream().noneMatch(a -> a.number() == 1));
+    }
+
+    @Test
+    void aCancelledLaunchThatMayStillArriveIsFencedOff() {
+        long token = 1L << 20;
+        hear(60, new Input.ReportReceived(1, report(1, 1, token)));
+        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), now));
+        effects.clear();
+        hear(3000, new Input.ReportReceived(2, report(1, 2, token)));
+        Effect.AnswerReport answer = take(Effect.AnswerReport.class).get(0);
+        assertTrue(answer.token() > token);
+        assertEquals(List.of(), answer.orders());
+    }
+
+    @Test
+    void aReportThatHasSeenAHigherTokenIsNotAnswered() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 5L << 20)));
+        assertEquals(1, take(Effect.RefuseReport.class).size());
+    }
+
+    /** Seen in a recorded incident: users stayed with a controller that the state service refused. */
+    @Test
+    void aControllerThatAloneCannotReachTheStateServiceIsNotHealthy() {
+        assertTrue(controller.healthy());
+        hear(6000, new Input.Tick());
+        assertTrue(controller.healthy(), "in an outage for all, no other would serve better");
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, true, List.of())));
+        assertFalse(controller.healthy());
+    }
+
+    @Test
+    void aControllerWithoutWordFromTheStateServiceLetsItsWorkersLeasesRunOut() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size());
+        hear(21_000, new Input.ReportReceived(2, report(1, 2, 0)));
+        assertEquals(1, take(Effect.RefuseReport.class).size(), "a cancellation may have been missed");
+    }
+
+    @Test
+    void aRetriedSubmissionIsKnownWhateverItsBodySays() {
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), 0));
+        effects.clear();
+        hear(10, new Input.Submit(5, "wk-1", null, "bottles must be an integer"));
+        Effect.ReadValue read = take(Effect.ReadValue.class).get(0);
+        hear(10, new Input.ValueRead(read.id(), true, new JobRecord(job(1, 1), 0), revision));
+        assertEquals(200, take(Effect.AnswerUser.class).get(0).status());
+    }
+}
--- /dev/null
+++ b/src/test/java/dewlane/core/ReleaseTest.java
@@ -0,0 +1,61 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Release.Result;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ReleaseTest {
+    private final Release release = new Release();
+
+    @Test
+    void itemsBecomeReadyWhenTheirLastSourceClearsAndInThatOrder() {
+        release.add("join", List.of("left", "right"));
+        release.add("left", List.of("root"));
+        release.add("right", List.of("root"));
+        release.add("root", List.of());
+        assertEquals(List.of("root"), List.copyOf(release.ready()));
+        release.finish("root", Result.DONE);
+        assertEquals(List.of("left", "right"), List.copyOf(release.ready()));
+        release.finish("right", Result.DONE);
+        assertFalse(release.isReady("join"));
+        release.finish("left", Result.DONE);
+        assertEquals(List.of("join"), List.copyOf(release.ready()));
+    }
+
+    @Test
+    void theFirstResultCountsAndLaterCopiesAreDropped() {
+        release.add("a", List.of());
+        release.add("b", List.of("a"));
+        release.finish("a", Result.DONE);
+        assertEquals(List.of(), release.finish("a", Result.FAILED));
+        assertTrue(release.isReady("b"));
+        release.add("a", List.of());
+        assertFalse(release.isReady("a"), "a repeated arrival starts nothing twice");
+    }
+
+    @Test
+    void aFailurePassesToAllDependants() {
+        release.add("a", List.of());
+        release.add("b", List.of("a"));
+        release.add("c", List.of("b", "other"));
+        release.add("other", List.of());
+        assertEquals(Set.of("b", "c"), Set.copyOf(release.finish("a", Result.FAILED)));
+        release.finish("other", Result.DONE);
+        assertEquals(List.of(), List.copyOf(release.ready()));
+        release.add("late", List.of("c"));
+        assertFalse(release.isReady("late"), "a dependant that arrives after the failure fails too");
+    }
+
+    @Test
+    void aSourceThatIsDoneBeforeItsDependantArrivesIsNotWaitedFor() {
+        release.add("a", List.of());
+        release.finish("a", Result.DONE);
+        release.add("b", List.of("a"));
+        assertTrue(release.isReady("b"));
+    }
+}
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -33,13 +33,26 @@
                 world.chance(0.2) ? List.of("large") : List.of(), world.chance(0.2) ? "east" : null,
                 oneZone, !oneZone && world.chance(0.15), world.chance(0.7), world.between(1, 12),
                 world.chance(0.5) ? 5 : 0, world.chance(0.5) ? 2 : 0, 0, 0);
-        jobs.put(id, job);
-        submit(job, 0);
+        submit(job);
         if (world.chance(0.25)) {
             world.after(world.between(50, 25_000), () -> abort(id, 0));
         }
     }
 
+    void submit(Job job) {
+        know(job);
+        submit(job, 0);
+    }
+
+    /** A job whose submission a test makes itself. */
+    void know(Job job) {
+        jobs.put(job.id(), job);
+    }
+
+    void cancel(String id) {
+        abort(id, 0);
+    }
+
     private SimNode anyNode() {
         List<SimNode> up = world.nodes.values().stream().filter(n -> n.alive).toList();
         return up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -9,7 +9,6 @@
 import dewlane.core.Report.Phase;
 import dewlane.core.Report.TaskState;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,7 +56,6 @@
     private String reportTo;
     private boolean inFlight;
     private long nextReport;
-    private final Map<String, Integer> nothing = new HashMap<>();
 
     SimWorker(World world, String name, MachineType type, String zone, boolean spot) {
         this.world = world;
@@ -212,7 +210,8 @@
     }
 
     private void elsewhere(List<SimNode> nodes) {
-        reportTo = nodes.get(world.random.nextInt(nodes.size())).name;
+        int at = reportTo == null ? 0 : nodes.indexOf(world.nodes.get(reportTo));
+        reportTo = nodes.get((at + 1) % nodes.size()).name;
         nextReport = world.now() + 1000;
     }
 
