--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -43,6 +44,7 @@
     private static final long TICK_MS = 100;
     private static final long USER_MS = 4500;
     private static final long COMMAND_MS = 2500;
+    private static final long SUMMARY_MS = 60_000;
     private static final int MAX_PENDING = 500;
     private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
 
@@ -60,6 +62,7 @@
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
     private final Deque<Effect> effects = new ArrayDeque<>();
     private final long startedAt = System.nanoTime();
+    private final Histogram userMs = new Histogram(60_000, 2);
     private Undertow server;
     private long nextId = 1;
     private boolean acting;
@@ -97,6 +100,7 @@
         server.start();
         LOG.info("{} listens on {} and {}", settings.node(), endpoints.listen(), endpoints.peerListen());
         thread.execute(this::tick);
+        thread.executeAfter(this::summarise, SUMMARY_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Stops; only tests and the warm-up do. */
@@ -120,6 +124,19 @@
         accept(new Input.Tick());
     }
 
+    /** Says once a minute how long users waited for their answers. */
+    private void summarise() {
+        if (worker.isShutdown()) {
+            return;
+        }
+        thread.executeAfter(this::summarise, SUMMARY_MS, TimeUnit.MILLISECONDS);
+        if (userMs.getTotalCount() > 0) {
+            LOG.info("answered {} user requests in the last minute: p50 {} ms, p99 {} ms, longest {} ms",
+                    userMs.getTotalCount(), userMs.getValueAtPercentile(50), userMs.getValueAtPercentile(99), userMs.getMaxValue());
+            userMs.reset();
+        }
+    }
+
     /** Gives a message to the core and does what it wants done. */
     private void accept(Input input) {
         try {
@@ -263,7 +280,12 @@
             return;
         }
         long id = nextId++;
+        long askedAt = System.nanoTime();
         pending.put(id, exchange);
+        exchange.addExchangeCompleteListener((e, next) -> {
+            userMs.recordValue(Math.min(60_000, (System.nanoTime() - askedAt) / 1_000_000));
+            next.proceed();
+        });
         thread.executeAfter(() -> reply(id, 503, UserWire.error("no answer in time, try again")), USER_MS, TimeUnit.MILLISECONDS);
         accept(input.apply(id));
     }
