--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -9,8 +9,10 @@
 import dewlane.core.Work.Outcome;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Speaks to the workers of this controller's part: takes reports, gives orders, and finds proof that an attempt is
@@ -193,12 +195,13 @@
     private List<Order> orders(Machine m, boolean inAnswer) {
         List<Key> forget = new ArrayList<>();
         List<Key> strangers = new ArrayList<>();
-        for (TaskState t : m.reported.values()) {
-            Key key = new Key(t.job(), t.task(), t.attempt());
-            if (m.live.stream().noneMatch(l -> l.key().equals(key))) {
+        Set<Key> live = new HashSet<>();
+        m.live.forEach(l -> live.add(l.key()));
+        m.reported.forEach((key, t) -> {
+            if (!live.contains(key)) {
                 settle(m, key, t, forget, strangers);
             }
-        }
+        });
         boolean raise = m.unsure && !forget.isEmpty();
         for (Live l : m.live) {
             // A launch that may still be on its way must not arrive after its job's cancellation.
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -12,7 +12,9 @@
  * reads no clock and no socket, so the same messages at the same times always have the same effects.
  */
 public final class Controller {
-    private static final long PASS_MS = 50;
+    /** Messages that come close together are answered by one pass; with no news there is one now and then. */
+    private static final long PASS_MS = 80;
+    private static final long QUIET_PASS_MS = 300;
     private static final long SLOW_MS = 1000;
 
     private final Context context;
@@ -142,7 +144,7 @@
         }
         membership.tick(loaded && replica.revision() >= loadedFrom);
         journaller.pump();
-        dirty = true;
+        dirty |= context.now() - passedAt >= QUIET_PASS_MS;
         if (context.now() - slowAt >= SLOW_MS) {
             slowAt = context.now();
             if (replica.map() != null) {
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -21,6 +21,13 @@
         return oneZone || spread;
     }
 
+    /** What decides where a task of the job may go and whether it fits. */
+    public record Shape(double cpus, double gpus, double memoryGb, List<String> types, String zone, boolean spot) { }
+
+    public Shape shape() {
+        return new Shape(cpus, gpus, memoryGb, types, zone, spot);
+    }
+
     public boolean allows(String type, String inZone, boolean onSpot) {
         return (types.isEmpty() || types.contains(type))
                 && (zone == null || zone.equals(inZone))
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -17,9 +17,9 @@
     record Key(String job, int task, int number) { }
 
     /** An attempt that the state service holds against this machine. */
-    record Live(JobEntry job, SliceEntry slice, Attempt attempt) {
-        Key key() {
-            return new Key(job.id, attempt.task(), attempt.number());
+    record Live(JobEntry job, SliceEntry slice, Attempt attempt, Key key) {
+        Live(JobEntry job, SliceEntry slice, Attempt attempt) {
+            this(job, slice, attempt, new Key(job.id, attempt.task(), attempt.number()));
         }
     }
 
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -12,6 +12,8 @@
 
 /** All machines heard of, whoever owns them, with what the replica and the writes under way put on them. */
 final class Machines {
+    private record Rivalry(Job.Shape shape, String type) { }
+
     private final Context context;
     private final Replica replica;
     private final Map<String, Machine> byName = new LinkedHashMap<>();
@@ -19,6 +21,8 @@
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Work> works = new HashMap<>();
     private final Map<String, double[]> teamUse = new HashMap<>();
+    /** As of the latest count of what is on the machines: the question is asked for every task and machine. */
+    private final Map<Rivalry, Integer> rivals = new HashMap<>();
     /** Machines that the other controllers last said take tasks. */
     private final Map<String, PeerStatus> peers = new HashMap<>();
     private final Map<String, Long> peersHeardAt = new HashMap<>();
@@ -148,6 +152,10 @@
      * elsewhere; 0 if not.
      */
     int rivals(Job job, MachineType type) {
+        return rivals.computeIfAbsent(new Rivalry(job.shape(), type.name()), r -> countRivals(job, type));
+    }
+
+    private int countRivals(Job job, MachineType type) {
         int choices = choices(job);
         for (JobEntry other : replica.jobs()) {
             Job o = other.job();
@@ -174,6 +182,7 @@
             m.usedMemory = 0;
         }
         teamUse.clear();
+        rivals.clear();
         for (JobEntry job : replica.jobs()) {
             if (job.job() == null) {
                 continue;
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -23,6 +23,8 @@
 final class Placement {
     /** A larger set of machines is sampled, not searched. */
     private static final int SAMPLE = 64;
+    /** How often a waiting job looks for room in other parts. */
+    private static final long LOOK_MS = 400;
     /** Seconds of fetching that are worth leaving a machine to tasks that have fewer types to choose from. */
     private static final double RIVAL_S = 8;
 
@@ -39,6 +41,8 @@
     private final String self;
     private final int maxLive;
     private List<Machine> usable = List.of();
+    /** Shapes for which this pass found no room. */
+    private final Set<Job.Shape> full = new HashSet<>();
 
     Placement(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
               Release release, Quota quota, Dealer dealer, Attempts attempts) {
@@ -76,6 +80,7 @@
             return;
         }
         usable = new ArrayList<>();
+        full.clear();
         for (Machine m : machines.all()) {
             if (takesTasks(m)) {
                 usable.add(m);
@@ -229,6 +234,7 @@
         if (quota.busy(spec)) {
             return;
         }
+        Job.Shape shape = spec.shape();
         Set<String> used = new HashSet<>();
         for (SliceEntry slice : job.slices()) {
             Slice value = next.getOrDefault(slice, slice.value());
@@ -242,9 +248,13 @@
                 if (value.isDone(task) || value.attemptOf(task) != null) {
                     continue;
                 }
-                Machine m = used.size() >= context.settings().txnOps() * 2 || quota.room(spec) < 1 ? null
-                        : choose(job, live, spec);
+                Machine m = used.size() >= context.settings().txnOps() * 2 || quota.room(spec) < 1 || full.contains(shape)
+                        ? null : choose(job, live, spec);
                 if (m == null) {
+                    // Room only shrinks during a pass, so further jobs of the shape need not look for it.
+                    if (!spec.placesLinked() && work.errors == 0 && quota.room(spec) > 0 && used.isEmpty()) {
+                        full.add(shape);
+                    }
                     stuck = true;
                     break;
                 }
@@ -260,7 +270,8 @@
             if (live.size() > value.attempts().size()) {
                 next.put(slice, new Slice(self, value.first(), value.count(), number, value.done(), List.copyOf(live)));
             } else if (stuck && quota.room(spec) > 0 && launched.isEmpty()
-                    && context.now() - work.handedAt > 2000) {
+                    && context.now() - work.handedAt > 2000 && context.now() - work.lookedAt > LOOK_MS) {
+                work.lookedAt = context.now();
                 String to = dealer.better(spec, self);
                 handed = to != null;
                 if (handed) {
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,6 +19,9 @@
     /** A task is left alone once its job has used this part of the time in which it should be done. */
     private static final double SPARE = 0.5;
 
+    /** Jobs with the same claim may stop the same tasks. */
+    private record Claim(Job.Shape shape, Priority priority, boolean guaranteed, String team) { }
+
     private final Context context;
     private final Machines machines;
     private final Quota quota;
@@ -25,6 +29,8 @@
     private Set<String> guaranteed = Set.of();
     /** Room that stops under way will leave: CPUs, GPUs, memory. */
     private final Map<Machine, double[]> coming = new HashMap<>();
+    /** Claims for which this pass found nothing to stop. */
+    private final Set<Claim> hopeless = new HashSet<>();
 
     Preemption(Context context, Machines machines, Quota quota) {
         this.context = context;
@@ -37,6 +43,7 @@
         usable = usableNow;
         guaranteed = guaranteedNow;
         coming.clear();
+        hopeless.clear();
         for (Machine m : usable) {
             for (Live l : m.live) {
                 if (m.stops.containsKey(l.key())) {
@@ -59,6 +66,10 @@
         if (spec.placesLinked() || ageS(spec) < patienceS(job)) {
             return;
         }
+        Claim claim = new Claim(spec.shape(), spec.priority(), guaranteed.contains(job.id), spec.team());
+        if (hopeless.contains(claim)) {
+            return;
+        }
         for (int i = 0; i < tasks; i++) {
             Machine best = null;
             List<Live> victims = List.of();
@@ -75,6 +86,7 @@
                 }
             }
             if (best == null) {
+                hopeless.add(claim);
                 return;
             }
             for (Live v : victims) {
--- a/src/main/java/dewlane/core/Work.java
+++ b/src/main/java/dewlane/core/Work.java
@@ -22,6 +22,8 @@
     int errors;
     long notBefore;
     long handedAt;
+    /** When another part with room was last looked for. */
+    long lookedAt;
 
     /** A launch that is not yet seen in the replica. */
     record Launch(Machine machine, Attempt attempt, int slice) { }
