The index of attempts follows the replica before a report is judged

Found by a unit test once passes came later: between a change of the replica and the next pass a reported attempt could be taken for a stranger, and a machine taken over from another controller could lose a running task, or forget an outcome before it was durable.

--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -56,6 +56,7 @@
             refuse(id);
             return;
         }
+        machines.refresh();
         String owner = Parts.owner(replica.map(), r.machine());
         if (!self.equals(owner)) {
             if (id != 0 && cannotReach(owner, r)) {
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -18,6 +18,7 @@
     private final Replica replica;
     private final Map<String, Machine> byName = new LinkedHashMap<>();
     private final Set<String> gone = new HashSet<>();
+    private long indexed = -1;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Work> works = new HashMap<>();
     private final Map<String, double[]> teamUse = new HashMap<>();
@@ -168,8 +169,19 @@
         return 0;
     }
 
+    /**
+     * Recomputes if the replica has moved on. An attempt that the replica holds but the index does not would be taken
+     * for a stranger, and stopped or forgotten.
+     */
+    void refresh() {
+        if (indexed != replica.revision()) {
+            reindex();
+        }
+    }
+
     /** Recomputes what is on every machine. Attempts count until their end is durable. */
     void reindex() {
+        indexed = replica.revision();
         replica.machines().forEach((name, entry) -> {
             if (entry.record().fate() == Value.MachineFate.GONE) {
                 gone.add(name);
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -125,6 +125,22 @@
         assertEquals(List.of(), answer.orders());
     }
 
+    /** Found by the test above once passes came later: the index lagged behind the replica. */
+    @Test
+    void anOutcomeThatIsNotYetDurableIsNotForgotten() {
+        long token = 1L << 20;
+        hear(100, new Input.ReportReceived(1, report(1, 1, token)));
+        revision++;
+        hear(10, new Input.Changes(List.of(
+                new Input.Change(Keys.job("wk-1"), new JobRecord(job(1, 1), 0), revision),
+                new Input.Change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(),
+                        List.of(new Attempt(0, 1, "m1", 1, token, 1))), revision)), revision));
+        effects.clear();
+        hear(10, new Input.ReportReceived(2, new Report("m1", "h:1", "box", "east", true, 1, 2, token, Double.NaN,
+                List.of(new Report.TaskState("wk-1", 0, 1, Report.Phase.EXITED, Report.End.DONE, false)))));
+        assertEquals(List.of(), take(Effect.AnswerReport.class).get(0).orders());
+    }
+
     @Test
     void aReportThatHasSeenAHigherTokenIsNotAnswered() {
         hear(60, new Input.ReportReceived(1, report(1, 1, 5L << 20)));
