--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -22,6 +22,8 @@
     /** How long an attempt that the replica does not explain is left alone: the replica may lag. */
     private static final long UNACCOUNTED_MS = 5000;
 
+    private static final int MOST_ORDERS = 400;
+
     private final Context context;
     private final Replica replica;
     private final Machines machines;
@@ -228,7 +230,8 @@
         for (Key k : forget) {
             orders.add(new Order(Order.Kind.FORGET, k.job(), k.task(), k.number(), 0));
         }
-        return orders;
+        // The rest follows with the next answer: no answer or command may be longer than 64 KiB.
+        return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
     }
 
     private boolean due(Machine m, Key key) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -25,6 +25,8 @@
     private static final int SAMPLE = 64;
     /** How often a waiting job looks for room in other parts. */
     private static final long LOOK_MS = 400;
+    /** Attempts in one write, which must stay below 64 KiB; the rest follows in the next. */
+    private static final int MOST_ATTEMPTS = 300;
     /** Seconds of fetching that are worth leaving a machine to tasks that have fewer types to choose from. */
     private static final double RIVAL_S = 8;
 
@@ -139,10 +141,12 @@
             return;
         }
         Map<SliceEntry, Slice> next = new LinkedHashMap<>();
+        int room = MOST_ATTEMPTS;
         for (SliceEntry slice : job.slices()) {
-            Slice after = applyOutcomes(slice.value(), work);
+            Slice after = room > 0 ? applyOutcomes(slice.value(), work) : slice.value();
             if (after != slice.value()) {
                 next.put(slice, after);
+                room -= after.attempts().size();
             }
         }
         Txn.Builder txn = new Txn.Builder();
@@ -155,7 +159,7 @@
             txn.set(Keys.fin(job.id), new Value.FinalRecord(false, context.wall()));
             finish(job, txn);
         } else if (launches && context.now() >= work.notBefore) {
-            launch(job, work, next, txn, launched);
+            launch(job, work, next, txn, launched, room);
         }
         if (txn.writes() == 0 || !launched.isEmpty()) {
             next.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
@@ -229,15 +233,19 @@
     }
 
     private void launch(JobEntry job, Work work, Map<SliceEntry, Slice> next, Txn.Builder txn,
-                        List<Work.Launch> launched) {
+                        List<Work.Launch> launched, int roomInWrite) {
         Job spec = job.job();
         if (quota.busy(spec)) {
             return;
         }
         Job.Shape shape = spec.shape();
         Set<String> used = new HashSet<>();
+        int room = roomInWrite;
         for (SliceEntry slice : job.slices()) {
             Slice value = next.getOrDefault(slice, slice.value());
+            if (room <= 0) {
+                break;
+            }
             if (!self.equals(Parts.owner(replica.map(), slice.key, slice.value())) || value.complete()) {
                 continue;
             }
@@ -268,6 +276,7 @@
             int unplaced = value.count() - value.done().cardinality() - live.size();
             boolean handed = false;
             if (live.size() > value.attempts().size()) {
+                room -= live.size();
                 next.put(slice, new Slice(self, value.first(), value.count(), number, value.done(), List.copyOf(live)));
             } else if (stuck && quota.room(spec) > 0 && launched.isEmpty()
                     && context.now() - work.handedAt > 2000 && context.now() - work.lookedAt > LOOK_MS) {
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -78,6 +78,17 @@
         assertEquals(18, world.checker.starts);
     }
 
+    @Test
+    void aLargeJobOfSmallTasksStaysWithinTheLimitsOfTheStateService() {
+        World world = quietWorld(6);
+        world.users.submit(job(60_000, 0.01, List.of(), true, 4));
+        world.run(60_000);
+        assertTrue(world.checker.starts > 1000, world.checker.starts + " starts");
+        world.users.cancel("wk-000001");
+        world.run(150_000);
+        assertEquals(Map.of(), world.state.all(Keys.SLICES));
+    }
+
     @Test
     void aJobAcceptedJustBeforeAllControllersDieStillRuns() {
         World world = quietWorld(3);
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -4,6 +4,7 @@
 import dewlane.core.Keys;
 import dewlane.core.Txn;
 import dewlane.core.Value;
+import dewlane.wire.StateWire;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -114,6 +115,9 @@
         if (txn.apply().size() > world.settings.txnOps() || txn.when().size() > 4 * world.settings.txnOps()) {
             throw new AssertionError("a transaction of " + txn.apply().size() + " changes and " + txn.when().size() + " conditions");
         }
+        if (StateWire.txn(txn).length > 65_536) {
+            throw new AssertionError("a transaction of " + StateWire.txn(txn).length + " bytes");
+        }
         if (!txn.apply().isEmpty()) {
             revision++;
         }
