One place says which machine types a job allows

The check stood in Job, Machines (twice) and Users; Job.allowsType now serves all. A local variable used once and a test fault that no test uses are gone.

--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -351,8 +351,7 @@
         unmet.forEach((job, slots) -> {
             Place place = cheapest(job.job());
             if (place != null) {
-                double amount = slots / machines.type(place.type).fits(job.job());
-                wanted.merge(place, amount, Double::sum);
+                wanted.merge(place, slots / machines.type(place.type).fits(job.job()), Double::sum);
             }
         });
         wanted.forEach((place, amount) -> {
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -28,9 +28,12 @@
         return new Shape(cpus, gpus, memoryGb, types, zone, spot);
     }
 
+    public boolean allowsType(String type) {
+        return types.isEmpty() || types.contains(type);
+    }
+
     public boolean allows(String type, String inZone, boolean onSpot) {
-        return (types.isEmpty() || types.contains(type))
-                && (zone == null || zone.equals(inZone))
+        return allowsType(type) && (zone == null || zone.equals(inZone))
                 && (spot || !onSpot);
     }
 
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -143,7 +143,7 @@
     int choices(Job job) {
         int n = 0;
         for (MachineType t : types.values()) {
-            n += (job.types().isEmpty() || job.types().contains(t.name())) && t.fits(job) > 0 ? 1 : 0;
+            n += job.allowsType(t.name()) && t.fits(job) > 0 ? 1 : 0;
         }
         return n;
     }
@@ -161,7 +161,7 @@
         for (JobEntry other : replica.jobs()) {
             Job o = other.job();
             if (o != null && !other.aborted() && (o.cpus() != job.cpus() || o.memoryGb() != job.memoryGb())
-                    && type.fits(o) > 0 && (o.types().isEmpty() || o.types().contains(type.name()))
+                    && type.fits(o) > 0 && o.allowsType(type.name())
                     && choices(o) < choices) {
                 return 1;
             }
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -95,7 +95,7 @@
         }
         for (MachineType t : machines.types()) {
             boolean zoned = job.zone() == null || t.zones().contains(job.zone());
-            if ((job.types().isEmpty() || job.types().contains(t.name())) && zoned && t.fits(job) > 0) {
+            if (job.allowsType(t.name()) && zoned && t.fits(job) > 0) {
                 return null;
             }
         }
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -141,7 +141,6 @@
             case TEAM_GUARD -> key.startsWith(Keys.TEAMS);
             case SLICE_GUARD -> key.startsWith(Keys.SLICES);
             case JOB_GUARD -> key.startsWith(Keys.JOBS);
-            case MACHINE_GUARD -> key.startsWith(Keys.MACHINES);
             default -> false;
         };
     }
--- a/src/test/java/dewlane/sim/World.java
+++ b/src/test/java/dewlane/sim/World.java
@@ -13,7 +13,7 @@
     private record Event(long at, long order, Runnable action) { }
 
     /** Guards that a test removes to show that the checker sees what they guard against. */
-    enum Broken { NONE, TEAM_GUARD, SLICE_GUARD, JOB_GUARD, MACHINE_GUARD, WORKER_TOKEN }
+    enum Broken { NONE, TEAM_GUARD, SLICE_GUARD, JOB_GUARD, WORKER_TOKEN }
 
     final long seed;
     final Broken broken;
