--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -56,7 +56,7 @@
                 new Input.Tick(), new Input.TxnAnswer(1, Txn.Status.COMMITTED, 2),
                 new Input.Changes(List.of(new Input.Change(Keys.MAP, map, 2)), 2), new Input.Tick(),
                 new Input.Submit(1, job.id(), job, null), new Input.TxnAnswer(2, Txn.Status.COMMITTED, 3),
-                new Input.Changes(List.of(new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, 0), 3),
+                new Input.Changes(List.of(new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, List.of(), 0), 3),
                         new Input.Change(Keys.slice(job.id(), 0), slice, 3)), 3),
                 new Input.ReportReceived(2, new Report("m", "h:1", TYPE, "zone", true, 1, 1, 0, Double.NaN, List.of())),
                 new Input.Tick(), new Input.Poll(3, job.id()), new Input.ValueRead(1, true, null, 0), new Input.Tick());
--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -9,10 +9,8 @@
 import dewlane.core.Work.Outcome;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Speaks to the workers of this controller's part: takes reports, gives orders, and finds proof that an attempt is
@@ -23,30 +21,31 @@
     private static final long UNACCOUNTED_MS = 5000;
 
     private static final int MOST_ORDERS = 400;
+    /** A worker that cannot reach its owner comes round again within this time. */
+    private static final long STRAY_MS = 30_000;
+    /** How often a machine in doubt is asked for a sign that it hears. */
+    private static final long PROBE_MS = 2000;
+    private static final long RESEND_MS = 2000;
 
     private final Context context;
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
+    private final Placement placement;
+    private final Counters counters;
     private final String self;
-    private long epoch;
 
-    Attempts(Context context, Replica replica, Machines machines, Membership membership) {
+    Attempts(Context context, Replica replica, Machines machines, Membership membership, Placement placement,
+             Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
+        this.placement = placement;
+        this.counters = counters;
         this.self = context.settings().node();
     }
 
-    boolean owns(String machine) {
-        return membership.joined() && self.equals(Parts.owner(replica.map(), machine));
-    }
-
-    long token(Machine m) {
-        return m.token(replica.map().epoch());
-    }
-
     /**
      * Takes a report; {@code id} 0 is one that came with the answer to a command.
      *
@@ -54,51 +53,64 @@
      * workers' leases run out while there is still time for that before the cancellation must have ended.
      */
     void report(long id, Report r) {
-        if (!membership.joined() || membership.superseded() || membership.silence() > trustMs()) {
+        counters.reports++;
+        if (!membership.joined() || membership.superseded() || membership.silence() > trustMs() || membership.isolated()) {
+            refuse(id);
+            return;
+        }
+        if (machines.isGone(r.machine())) {
             refuse(id);
             return;
         }
-        machines.refresh();
-        String owner = Parts.owner(replica.map(), r.machine());
-        if (!self.equals(owner)) {
-            if (id != 0 && cannotReach(owner, r)) {
-                membership.claim(r.machine());
+        Machine m = machines.of(r.machine());
+        if (!self.equals(m.owner)) {
+            if (id != 0 && cannotReachOwner(m, r)) {
+                membership.claim(m.name);
                 refuse(id);
             } else if (id != 0) {
-                context.emit(new Effect.RedirectReport(id, owner));
+                context.emit(new Effect.RedirectReport(id, m.owner));
             }
             return;
         }
-        Machine m = machines.isGone(r.machine()) ? null : machines.of(r.machine());
-        if (m == null || r.token() > token(m) || !r.newerThan(m.session, m.sequence)) {
+        // Copies come late: one that is no newer than what was taken says nothing, whatever it says.
+        if (r.token() > m.token() || !r.newerThan(m.session, m.sequence)) {
             refuse(id);
             return;
         }
-        take(m, r);
+        take(m, r, id == 0);
         if (id != 0) {
             List<Order> orders = orders(m, true);
-            context.emit(new Effect.AnswerReport(id, token(m), orders));
+            m.promised = m.token();
+            m.promisedLaunches.clear();
+            for (Order o : orders) {
+                if (o.kind() == Order.Kind.LAUNCH) {
+                    m.promisedLaunches.add(new Key(o.job(), o.task(), o.attempt()));
+                }
+            }
+            context.emit(new Effect.AnswerReport(id, m.token(), orders));
         }
     }
 
     /**
-     * A worker that turns up here although its owner lives cannot reach that owner: the owner no longer hears it, or it
-     * was sent there already and has come back. Without this, a cut between them lasts until its lease has run out.
+     * A worker that turns up here although its owner lives cannot reach that owner: it was sent there already and has
+     * come back. Without this, a cut between them lasts until its lease has run out. The second report must be newer
+     * than the first and than what the owner has: late copies of old reports move no machine.
      */
-    private boolean cannotReach(String owner, Report r) {
-        Machine m = machines.learn(r.machine(), r.address(), r.type(), r.zone(), r.spot());
-        if (m == null || membership.silence() > 2000) {
+    private boolean cannotReachOwner(Machine m, Report r) {
+        machines.learn(r.machine(), r.address(), r.type(), r.zone(), r.spot());
+        if (membership.silence() > 2000 || m.address == null || !r.newerThan(m.session, m.sequence)) {
             return false;
         }
-        PeerStatus peer = machines.peer(owner);
-        boolean dropped = m.listedBy != null && m.listedBy.equals(machines.start(owner)) && peer != null
-                && peer.machines().stream().noneMatch(p -> p.name().equals(m.name));
         long strayed = context.now() - m.strayedAt;
-        if (m.strayedAt == 0 || strayed > 20_000) {
+        boolean newer = r.newerThan(m.strayedSession, m.strayedSequence);
+        if (m.strayedAt == 0 || strayed > STRAY_MS) {
             m.strayedAt = context.now();
-            return dropped;
+            m.strayedSession = r.session();
+            m.strayedSequence = r.sequence();
+            return false;
         }
-        return dropped || strayed > 3500;
+        boolean dropped = !machines.listedByOwner(m) && machines.peer(m.owner) != null;
+        return newer && strayed > (dropped ? 500 : 3500);
     }
 
     private long trustMs() {
@@ -112,8 +124,8 @@
         }
     }
 
-    private void take(Machine m, Report r) {
-        if (m.heardAt == 0) {
+    private void take(Machine m, Report r, boolean answer) {
+        if (m.seal == 0 && m.sequence == 0) {
             context.debug("machine " + m.name + " reports: " + r.type() + " " + r.zone() + (r.spot() ? " spot" : ""));
         }
         if (r.session() != m.session) {
@@ -126,31 +138,59 @@
         m.session = r.session();
         m.sequence = r.sequence();
         m.seal = r.token();
-        m.heardAt = context.now();
-        if (Double.isNaN(r.noticeS())) {
-            m.takenAt = 0;
-        } else {
-            if (m.takenAt == 0) {
-                context.info("machine " + m.name + " is to be taken away in " + r.noticeS() + " s");
-            }
-            m.takenAt = context.now() + (long) (r.noticeS() * 1000);
-        }
         Map<Key, TaskState> reported = new HashMap<>();
         for (TaskState t : r.tasks()) {
             reported.put(new Key(t.job(), t.task(), t.attempt()), t);
         }
         m.reported = reported;
+        hear(m, r, answer);
         MachineType type = machines.type(m.type);
-        for (Live l : m.live) {
-            TaskState t = reported.get(l.key());
-            Outcome outcome = t == null ? goneBy(l.attempt(), r) : endOf(t);
-            if (t != null && t.phase() != Phase.EXITED && type != null && l.job().job() != null) {
-                m.fetched(l.job().job().image(), l.job().job().imageGb(), type.cacheGb());
+        for (Live l : m.live.values()) {
+            TaskState t = reported.get(l.key);
+            Outcome outcome = t == null ? goneBy(l.attempt, r) : endOf(t);
+            if (t != null && t.phase() != Phase.EXITED && type != null && l.job.job() != null) {
+                m.fetched(l.job.job().image(), l.job.job().imageGb(), type.cacheGb());
             }
-            if (outcome != null && machines.work(l.job().id).outcomes.put(l.key(), outcome) == null) {
+            if (outcome != null && placement.record(machines.work(l.job.id), l.key, outcome)) {
+                machines.over(m, l);
                 judge(m, l, outcome);
             }
         }
+        machines.touch(m);
+    }
+
+    /**
+     * Decides what the report says about whether the machine hears this controller. The answer to a command shows it.
+     * A report shows it as long as they come in time and each shows what the answer to the last one gave; else the
+     * machine is in doubt, gets no further tasks, and is asked.
+     */
+    private void hear(Machine m, Report r, boolean answer) {
+        long now = context.now();
+        boolean missed = m.promised > r.token();
+        for (Key k : m.promisedLaunches) {
+            Live l = m.live.get(k);
+            missed |= l != null && l.attempt.session() == r.session() && !m.reported.containsKey(k);
+        }
+        boolean sure = answer || (m.doubtSince != 0 ? r.token() >= m.challenge : !missed && m.heardWithin(now, context.settings().heardMs()));
+        if (sure) {
+            m.confirm(now);
+            notice(m, r);
+        } else if (m.doubtSince == 0) {
+            counters.doubts++;
+            context.debug("machine " + m.name + " is heard but may not hear: " + (missed ? "missed an answer" : "was silent"));
+            m.doubt(now);
+        }
+    }
+
+    private void notice(Machine m, Report r) {
+        if (Double.isNaN(r.noticeS())) {
+            m.takenAt = 0;
+        } else {
+            if (m.takenAt == 0) {
+                context.info("machine " + m.name + " is to be taken away in " + r.noticeS() + " s");
+            }
+            m.takenAt = context.now() + (long) (r.noticeS() * 1000);
+        }
     }
 
     /**
@@ -178,19 +218,19 @@
 
     /** Tells faulty machines from faulty jobs: a machine is to blame once tasks of two jobs failed on it in a row. */
     private void judge(Machine m, Live l, Outcome outcome) {
-        context.debug(l.job().id + "/" + l.attempt().task() + " #" + l.attempt().number() + " on " + m.name + ": " + outcome);
+        context.debug(l.job.id + "/" + l.attempt.task() + " #" + l.attempt.number() + " on " + m.name + ": " + outcome);
         if (outcome == Outcome.DONE) {
             m.failedJobs.clear();
         } else if (outcome == Outcome.ERROR) {
-            m.failedJobs.add(l.job().id);
-            Work work = machines.work(l.job().id);
+            m.failedJobs.add(l.job.id);
+            Work work = machines.work(l.job.id);
             work.errors++;
             work.failedOn.add(m.name);
             work.notBefore = context.now() + Math.min(30_000, 250L << Math.min(work.errors, 7));
-            context.info("task " + l.job().id + "/" + l.attempt().task() + " failed on " + m.name
+            context.info("task " + l.job.id + "/" + l.attempt.task() + " failed on " + m.name
                     + " (" + work.errors + " failures of the job, " + m.failedJobs.size() + " jobs on the machine)");
         } else if (outcome == Outcome.REFUSED) {
-            machines.work(l.job().id).notBefore = context.now() + 1000;
+            machines.work(l.job.id).notBefore = context.now() + 1000;
         }
     }
 
@@ -198,26 +238,24 @@
     private List<Order> orders(Machine m, boolean inAnswer) {
         List<Key> forget = new ArrayList<>();
         List<Key> strangers = new ArrayList<>();
-        Set<Key> live = new HashSet<>();
-        m.live.forEach(l -> live.add(l.key()));
         m.reported.forEach((key, t) -> {
-            if (!live.contains(key)) {
+            if (!m.live.containsKey(key)) {
                 settle(m, key, t, forget, strangers);
             }
         });
         boolean raise = m.unsure && !forget.isEmpty();
-        for (Live l : m.live) {
+        for (Live l : m.live.values()) {
             // A launch that may still be on its way must not arrive after its job's cancellation.
-            raise |= ended(l.job()) && !m.reported.containsKey(l.key())
-                    && l.attempt().session() == m.session && l.attempt().token() == token(m);
+            raise |= ended(l.job) && !m.reported.containsKey(l.key)
+                    && l.attempt.session() == m.session && l.attempt.token() == m.token();
         }
         if (raise) {
-            m.raiseFence(replica.map().epoch());
+            m.raiseFence();
         }
         List<Order> orders = new ArrayList<>();
-        for (Live l : m.live) {
+        for (Live l : m.live.values()) {
             Order order = orderFor(m, l);
-            if (order != null && (inAnswer || due(m, l.key()))) {
+            if (order != null && (inAnswer || due(m, l.key))) {
                 orders.add(order);
             }
         }
@@ -235,27 +273,27 @@
     }
 
     private boolean due(Machine m, Key key) {
-        return !m.commanded.containsKey(key) || context.now() - m.commanded.getLong(key) > 2000;
+        return !m.commanded.containsKey(key) || context.now() - m.commanded.getLong(key) > RESEND_MS;
     }
 
     private Order orderFor(Machine m, Live l) {
-        TaskState t = m.reported.get(l.key());
-        Attempt a = l.attempt();
+        TaskState t = m.reported.get(l.key);
+        Attempt a = l.attempt;
         if (t == null) {
             // Only the token written with the launch may ever command it, or the proof of gone would not hold.
-            boolean mayLaunch = !ended(l.job()) && a.session() == m.session && a.token() == token(m)
-                    && !machines.work(l.job().id).outcomes.containsKey(l.key());
-            return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job().id, a.task(), a.number(), 0) : null;
+            boolean mayLaunch = !ended(l.job) && a.session() == m.session && a.token() == m.token()
+                    && !machines.work(l.job.id).outcomes.containsKey(l.key);
+            return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
         }
         if (t.phase() == Phase.EXITED) {
             return null;
         }
-        if (ended(l.job())) {
-            return new Order(Order.Kind.STOP, l.job().id, a.task(), a.number(), 0);
+        if (ended(l.job)) {
+            return new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), 0);
         }
-        Double grace = m.stops.get(l.key());
+        Double grace = m.stops.get(l.key);
         return grace == null || t.phase() == Phase.SAVING ? null
-                : new Order(Order.Kind.STOP, l.job().id, a.task(), a.number(), grace);
+                : new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), grace);
     }
 
     private static boolean ended(JobEntry job) {
@@ -280,32 +318,44 @@
 
     /** Sends what is new straight to the workers; the answers to their reports repeat it. */
     void command() {
-        if (!membership.joined()) {
+        if (!membership.joined() || machines.changed().isEmpty()) {
             return;
         }
-        boolean newEpoch = replica.map().epoch() != epoch;
-        epoch = replica.map().epoch();
-        for (Machine m : machines.all()) {
-            if (!owns(m.name)) {
-                m.since = context.now();
-                m.heardAt = 0;
-                continue;
-            }
-            if (m.address == null || m.commandInFlight || m.session == 0) {
+        List<Machine> later = new ArrayList<>();
+        for (Machine m : machines.changed()) {
+            if (m.address == null || m.session == 0) {
                 continue;
             }
-            boolean fenceLate = newEpoch && !m.live.isEmpty();
-            if (m.heardAt == 0 && !fenceLate) {
+            if (m.commandInFlight) {
+                later.add(m);
                 continue;
             }
-            List<Order> orders = m.heardAt == 0 ? List.of() : orders(m, false);
+            List<Order> orders = orders(m, false);
             boolean urgent = orders.stream().anyMatch(o -> o.kind() != Order.Kind.FORGET);
-            if (urgent || fenceLate) {
+            boolean probe = m.doubtSince != 0 && context.now() - m.probedAt > PROBE_MS
+                    && (m.tokenLate && !m.live.isEmpty() || m.sequence > 0);
+            if (urgent || probe) {
+                counters.commands++;
+                counters.probes += probe ? 1 : 0;
+                m.probedAt = probe ? context.now() : m.probedAt;
+                m.tokenLate = false;
                 for (Order o : orders) {
                     m.commanded.put(new Key(o.job(), o.task(), o.attempt()), context.now());
                 }
                 m.commandInFlight = true;
-                context.emit(new Effect.Command(m.name, m.address, m.session, token(m), orders));
+                context.emit(new Effect.Command(m.name, m.address, m.session, m.token(), orders));
+            }
+        }
+        machines.changed().clear();
+        machines.changed().addAll(later);
+    }
+
+    /** Looks again at machines in doubt, or with tasks that are still to show: an order may have been lost. */
+    void tick() {
+        for (Machine m : machines.own()) {
+            if (m.doubtSince != 0 || !m.stops.isEmpty()
+                    || m.live.values().stream().anyMatch(l -> !l.over && !m.reported.containsKey(l.key))) {
+                machines.touch(m);
             }
         }
     }
@@ -318,7 +368,7 @@
         m.commandInFlight = false;
         if (in.report() != null) {
             report(0, in.report());
-        } else if (in.launched() && membership.joined() && in.token() == token(m)) {
+        } else if (in.launched() && membership.joined() && in.token() == m.token()) {
             m.unsure = true;
         }
     }
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -1,11 +1,10 @@
 package dewlane.core;
 
 import dewlane.core.PeerStatus.PeerMachine;
+import dewlane.core.Replica.Delta;
 import dewlane.core.Replica.JobEntry;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * The core of one controller: takes messages with the time of their arrival and gives back what is to be done. It
@@ -18,7 +17,8 @@
     private static final long SLOW_MS = 1000;
 
     private final Context context;
-    private final Replica replica = new Replica();
+    private final Replica replica = new Replica(this::follow);
+    private final Counters counters = new Counters();
     private final Release release = new Release();
     private final Journaller journaller;
     private final Membership membership;
@@ -28,7 +28,6 @@
     private final Health health;
     private final Fleet fleet;
     private final Users users;
-    private final Set<String> tracked = new HashSet<>();
     private boolean listing;
     private long listedAt;
     private boolean loaded;
@@ -39,14 +38,14 @@
 
     public Controller(Settings settings, long seed) {
         context = new Context(settings, seed);
-        journaller = new Journaller(context);
-        membership = new Membership(context, replica, journaller);
+        journaller = new Journaller(context, counters);
         machines = new Machines(context, replica);
+        membership = new Membership(context, replica, machines, journaller);
         Quota quota = new Quota(settings, replica, machines);
-        Dealer dealer = new Dealer(context, replica, machines);
-        attempts = new Attempts(context, replica, machines, membership);
-        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer, attempts);
-        health = new Health(context, replica, machines, membership, journaller, attempts);
+        Dealer dealer = new Dealer(context, replica, machines, quota);
+        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer, counters);
+        attempts = new Attempts(context, replica, machines, membership, placement, counters);
+        health = new Health(context, replica, machines, membership, journaller);
         fleet = new Fleet(context, replica, machines, membership, journaller, placement, quota);
         users = new Users(context, replica, machines, membership, journaller, dealer);
     }
@@ -64,6 +63,11 @@
         return context.takeEffects();
     }
 
+    /** What this controller has done since its start, for the log. */
+    public String counts() {
+        return counters.text();
+    }
+
     /** True once this controller can decide about jobs. */
     public boolean ready() {
         return loaded && membership.joined() && !machines.types().isEmpty();
@@ -151,6 +155,7 @@
                 journaller.shareAmong(replica.map().members().size());
             }
             health.tick();
+            attempts.tick();
             fleet.tick();
             tellPeers();
         }
@@ -163,7 +168,6 @@
         // Changes between the listing's first and last page are only complete once the watch has passed them.
         loadedFrom = in.latest();
         replica.load(in.rows(), in.revision());
-        track();
         context.info("read " + replica.jobs().size() + " jobs from the state service at revision " + in.revision());
         context.emit(new Effect.Watch(in.revision()));
     }
@@ -173,15 +177,11 @@
             return;
         }
         membership.contact();
-        long epoch = replica.map() == null ? 0 : replica.map().epoch();
         for (Input.Change change : in.changes()) {
             replica.apply(change);
         }
+        counters.changesSeen += in.changes().size();
         replica.advance(in.revision());
-        track();
-        if (replica.map() != null && replica.map().epoch() != epoch) {
-            context.info("map " + replica.map().epoch() + ": " + replica.map().members());
-        }
         if (!in.changes().isEmpty()) {
             dirty = true;
         }
@@ -197,27 +197,29 @@
         }
     }
 
-    /** Passes jobs and their results through the release rules. The wire has no source lists, so they are empty. */
-    private void track() {
-        List<JobEntry> fresh = new ArrayList<>();
-        for (JobEntry job : replica.jobs()) {
-            if (job.job() != null && tracked.add(job.id)) {
-                fresh.add(job);
-            }
-            if (job.aborted()) {
-                release.finish(job.id, Release.Result.FAILED);
-            }
+    /** Each change of the replica goes to those that keep something which follows from it. */
+    private void follow(Delta delta) {
+        machines.follow(delta);
+        if (delta instanceof Delta.JobChanged d) {
+            track(d);
+        } else if (delta instanceof Delta.SliceChanged d && d.after() != null) {
+            counters.attemptsSeen += d.after().attempts().size();
+        } else if (delta instanceof Delta.MapChanged d) {
+            context.info("map " + d.after().epoch() + ": " + d.after().members());
+        }
+    }
+
+    /** Passes a job and its result through the release rules. The wire has no source lists, so they are empty. */
+    private void track(Delta.JobChanged d) {
+        JobEntry job = d.job();
+        if (d.after() == null) {
+            release.finish(job.id, Release.Result.DONE);
+            release.forget(job.id);
+        } else if (d.after().aborted()) {
+            release.finish(job.id, Release.Result.FAILED);
+        } else if (d.before() == null) {
+            release.add(job.id, List.of());
         }
-        fresh.sort((a, b) -> Long.compare(a.job().acceptedMs(), b.job().acceptedMs()));
-        fresh.forEach(job -> release.add(job.id, List.of()));
-        tracked.removeIf(id -> {
-            if (replica.job(id) != null && replica.job(id).job() != null) {
-                return false;
-            }
-            release.finish(id, Release.Result.DONE);
-            release.forget(id);
-            return true;
-        });
     }
 
     private void tellPeers() {
@@ -226,7 +228,7 @@
         }
         List<PeerMachine> usable = new ArrayList<>();
         for (Machine m : placement.usable()) {
-            usable.add(new PeerMachine(m.name, m.address, m.type, m.zone, m.spot, m.session));
+            usable.add(new PeerMachine(m.name, m.address, m.type, m.zone, m.spot, m.session, m.sequence));
         }
         context.emit(new Effect.TellPeers(new PeerStatus(context.settings().node(), replica.map().epoch(),
                 membership.silence() < 2000, usable)));
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -2,42 +2,63 @@
 
 import dewlane.core.Replica.JobEntry;
 import dewlane.core.Replica.SliceEntry;
+import dewlane.core.Value.Deal;
 import dewlane.core.Value.Member;
-import dewlane.core.Value.Slice;
 import java.util.ArrayList;
-import java.util.BitSet;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Deals jobs among the parts by free room, as slices of their tasks. */
+/** Deals jobs among the parts by free room, as slices of their tasks: few, as each slice costs changes. */
 final class Dealer {
     /** Keeps a slice's done marks well within the smallest value the state service takes. */
     private static final int MAX_SLICE = 20_000;
+    /** Tasks that find no room wait in no more slices than so many each make worth while. */
+    private static final int WAITING_SLICE = 150;
+
+    /** A part, the tasks it has room for, and that less what waits there already. */
+    record Offer(String node, int room, double spare) { }
+
+    /** How long a count of the parts' room is good enough. */
+    private static final long KEEP_MS = 250;
+
+    /** Jobs that ask the same. */
+    private record Asked(Job.Shape shape, Priority priority, String team) { }
 
     private final Context context;
     private final Replica replica;
     private final Machines machines;
+    private final Quota quota;
+    private final Map<Asked, List<Offer>> counted = new HashMap<>();
+    private long countedAt = Long.MIN_VALUE / 2;
+    private long countedFor;
 
-    Dealer(Context context, Replica replica, Machines machines) {
+    Dealer(Context context, Replica replica, Machines machines, Quota quota) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
+        this.quota = quota;
     }
 
-    /** Tasks of the job that each part's free room would take, less what waits there already. */
-    Map<String, Integer> rooms(Job job) {
-        Map<String, Integer> rooms = new LinkedHashMap<>();
-        Map<String, Double> waiting = new LinkedHashMap<>();
-        for (Member member : replica.map().members()) {
-            rooms.put(member.name(), 0);
-            waiting.put(member.name(), 0.0);
+    /** What each part offers a job, the one with the most to spare first; asked again soon, it is as it was. */
+    private List<Offer> offers(Job job, Job.Shape shape) {
+        if (context.now() - countedAt > KEEP_MS || replica.mapVersion() != countedFor) {
+            counted.clear();
+            countedAt = context.now();
+            countedFor = replica.mapVersion();
         }
+        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team()), a -> count(job, shape));
+    }
+
+    private List<Offer> count(Job job, Job.Shape shape) {
+        List<Member> members = replica.map().members();
+        int[] rooms = new int[members.size()];
+        double[] waiting = new double[members.size()];
         for (Machine m : machines.all()) {
             MachineType type = machines.type(m.type);
-            String owner = Parts.owner(replica.map(), m.name);
-            if (type != null && takesTasks(m, owner) && job.allows(m.type, m.zone, m.spot)) {
-                rooms.merge(owner, roomOn(m, type, job), Integer::sum);
+            if (type != null && type.holds(shape) && takesTasks(m) && job.allows(m.type, m.zone, m.spot)) {
+                rooms[index(members, m.owner)] += m.use.room(type, job);
             }
         }
         for (JobEntry other : replica.jobs()) {
@@ -45,84 +66,84 @@
                 continue;
             }
             for (SliceEntry s : other.slices()) {
-                int left = s.value().count() - s.value().done().cardinality() - s.value().attempts().size();
-                waiting.merge(Parts.owner(replica.map(), s.key, s.value()),
-                        left * other.job().cpus() / Math.max(0.001, job.cpus()), Double::sum);
+                int left = s.value().waiting();
+                if (left > 0) {
+                    waiting[index(members, Parts.owner(replica.map(), s.key, s.value()))] +=
+                            left * other.job().cpus() / Math.max(0.001, job.cpus());
+                }
             }
         }
-        rooms.replaceAll((node, room) -> (int) Math.max(0, room - Math.ceil(waiting.getOrDefault(node, 0.0))));
-        return rooms;
-    }
-
-    private boolean takesTasks(Machine m, String owner) {
-        if (replica.machines().containsKey(m.name)) {
-            return false;
-        }
-        if (owner.equals(context.settings().node())) {
-            return m.heardWithin(context.now(), 8000) && m.takenAt == 0;
+        List<Offer> offers = new ArrayList<>();
+        for (int i = 0; i < rooms.length; i++) {
+            String node = members.get(i).name();
+            double spare = Math.min(rooms[i] - waiting[i], quota.room(job, node));
+            offers.add(new Offer(node, (int) Math.max(0, Math.floor(spare)), spare));
         }
-        PeerStatus peer = machines.peer(owner);
-        return peer != null && peer.machines().stream().anyMatch(p -> p.name().equals(m.name));
+        offers.sort(Comparator.comparingDouble(Offer::spare).reversed());
+        return offers;
     }
 
-    static int roomOn(Machine m, MachineType type, Job job) {
-        double n = Math.min(left(type.cpus() - m.usedCpus, job.cpus()),
-                Math.min(left(type.gpus() - m.usedGpus, job.gpus()), left(type.memoryGb() - m.usedMemory, job.memoryGb())));
-        return (int) Math.max(0, n);
+    private static int index(List<Member> members, String name) {
+        for (int i = 0; i < members.size(); i++) {
+            if (members.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        throw new IllegalStateException(name + " is not in the map");
     }
 
-    private static double left(double free, double each) {
-        return each <= 0 ? 1_000_000 : Math.floor(free / each + 1e-9);
+    private boolean takesTasks(Machine m) {
+        if (m.owner == null || replica.machines().containsKey(m.name)) {
+            return false;
+        }
+        if (m.owner.equals(context.settings().node())) {
+            return m.heardWithin(context.now(), context.settings().heardMs()) && m.takenAt == 0 && m.doubtSince == 0;
+        }
+        return machines.listedByOwner(m);
     }
 
-    /** The slices of a new job: one if a part has room for all of it, or else one a part, by free room. */
-    List<Slice> deal(Job job) {
-        Map<String, Integer> rooms = rooms(job);
-        String best = context.settings().node();
-        for (Map.Entry<String, Integer> e : rooms.entrySet()) {
-            if (e.getValue() > rooms.getOrDefault(best, -1)) {
-                best = e.getKey();
-            }
+    /**
+     * The slices of a new job: one if a part has room for all of it, or else as few as its room is spread over; what
+     * finds no room waits where least does.
+     */
+    List<Deal> deal(Job job) {
+        List<Offer> offers = offers(job, job.shape());
+        List<Deal> deals = new ArrayList<>();
+        if (job.placesLinked()) {
+            cut(deals, offers.get(0).node(), 0, job.tasks(), Integer.MAX_VALUE);
+            return deals;
         }
-        List<Slice> slices = new ArrayList<>();
-        if (job.placesLinked() || rooms.size() < 2 || job.tasks() == 1
-                || (rooms.getOrDefault(best, 0) >= job.tasks() && job.tasks() <= MAX_SLICE)) {
-            cut(slices, best, 0, job.tasks(), job.placesLinked() ? Integer.MAX_VALUE : MAX_SLICE);
-            return slices;
+        int[] shares = new int[offers.size()];
+        int left = job.tasks();
+        for (int i = 0; i < shares.length && left > 0; i++) {
+            shares[i] = Math.min(left, offers.get(i).room());
+            left -= shares[i];
         }
-        double total = 0;
-        for (int room : rooms.values()) {
-            total += room + 1;
+        int waitIn = Math.min(shares.length, (left + WAITING_SLICE - 1) / WAITING_SLICE);
+        for (int i = 0; i < waitIn; i++) {
+            int share = left / (waitIn - i);
+            shares[i] += share;
+            left -= share;
         }
         int from = 0;
-        double share = 0;
-        for (Map.Entry<String, Integer> e : rooms.entrySet()) {
-            share += (e.getValue() + 1) / total;
-            int to = (int) Math.min(job.tasks(), Math.round(share * job.tasks()));
-            cut(slices, e.getKey(), from, to, MAX_SLICE);
-            from = Math.max(from, to);
+        for (int i = 0; i < shares.length; i++) {
+            cut(deals, offers.get(i).node(), from, from + shares[i], MAX_SLICE);
+            from += shares[i];
         }
-        return slices;
+        return deals;
     }
 
-    private static void cut(List<Slice> into, String owner, int from, int to, int most) {
+    private static void cut(List<Deal> into, String owner, int from, int to, int most) {
         for (int at = from; at < to; ) {
             int n = Math.min(to - at, most);
-            into.add(new Slice(owner, at, n, 0, new BitSet(), List.of()));
+            into.add(new Deal(owner, at, n));
             at += n;
         }
     }
 
-    /** A part with room for more of the job than nothing, other than the present one, or null. */
-    String better(Job job, String than) {
-        String best = null;
-        int most = 0;
-        for (Map.Entry<String, Integer> e : rooms(job).entrySet()) {
-            if (!e.getKey().equals(than) && e.getValue() > most) {
-                best = e.getKey();
-                most = e.getValue();
-            }
-        }
-        return best;
+    /** The part with the most room for the job, other than the present one, or null if none has any. */
+    Offer better(JobEntry job, String than) {
+        return offers(job.job(), job.shape()).stream()
+                .filter(o -> !o.node().equals(than) && o.room() > 0).findFirst().orElse(null);
     }
 }
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,33 +38,27 @@
 
     private record Place(String type, String zone, boolean spot) { }
 
-    /** Room on a machine that is up or on its way. */
+    /** Room on machines of one place that are up or on their way. */
     private static final class Bin {
         final MachineType type;
         final String zone;
         final boolean spot;
-        double cpus;
-        double gpus;
-        double memory;
+        final Use use;
 
-        Bin(MachineType type, String zone, boolean spot) {
+        Bin(MachineType type, String zone, boolean spot, Use use) {
             this.type = type;
             this.zone = zone;
             this.spot = spot;
-            this.cpus = type.cpus();
-            this.gpus = type.gpus();
-            this.memory = type.memoryGb();
+            this.use = use;
         }
 
-        boolean take(Job job) {
-            if (!job.allows(type.name(), zone, spot) || cpus < job.cpus() - 1e-9 || gpus < job.gpus() - 1e-9
-                    || memory < job.memoryGb() - 1e-9) {
-                return false;
+        /** Takes up to the given number of tasks and says how many. */
+        int take(Job job, int tasks) {
+            int taken = Math.min(tasks, use.room(type, job));
+            if (taken > 0) {
+                use.add(job, taken);
             }
-            cpus -= job.cpus();
-            gpus -= job.gpus();
-            memory -= job.memoryGb();
-            return true;
+            return taken;
         }
     }
 
@@ -161,16 +156,10 @@
 
     private void noteUp() {
         for (Machine m : machines.all()) {
-            if (m.heardAt != 0 || !m.live.isEmpty()) {
+            if (m.heardAt != 0 || !m.live.isEmpty() || machines.listedByOwner(m)) {
                 up.add(m.name);
             }
         }
-        for (Value.Member member : replica.map().members()) {
-            PeerStatus peer = machines.peer(member.name());
-            if (peer != null) {
-                peer.machines().forEach(p -> up.add(p.name()));
-            }
-        }
         up.removeIf(machines::isGone);
         booting.keySet().removeIf(name -> up.contains(name) || machines.isGone(name));
         rentals.values().removeIf(r -> context.now() - r.at > 30_000);
@@ -268,77 +257,109 @@
 
     /** Tasks that neither machines that are up nor those on their way have room for, in slots for a whole machine life. */
     private Map<JobEntry, Double> unmet() {
-        List<Bin> bins = new ArrayList<>();
-        Set<String> takes = new HashSet<>();
-        placement.usable().forEach(m -> takes.add(m.name));
-        for (Value.Member member : replica.map().members()) {
-            PeerStatus peer = machines.peer(member.name());
-            if (peer != null && !member.name().equals(context.settings().node())) {
-                peer.machines().forEach(p -> takes.add(p.name()));
-            }
-        }
-        for (String name : takes) {
-            Machine m = machines.get(name);
-            MachineType type = m == null ? null : machines.type(m.type);
-            if (type != null && !replica.machines().containsKey(name)) {
-                Bin bin = new Bin(type, m.zone, m.spot);
-                bin.cpus -= m.usedCpus;
-                bin.gpus -= m.usedGpus;
-                bin.memory -= m.usedMemory;
-                bins.add(bin);
+        // One list a place, so that a job looks only at machines that it may use, and each full one is dropped at once.
+        Map<Place, List<Bin>> bins = new LinkedHashMap<>();
+        for (Machine m : machines.all()) {
+            MachineType type = machines.type(m.type);
+            if (type != null && takesTasks(m) && m.use.cpus() < type.cpus()) {
+                add(bins, new Bin(type, m.zone, m.spot, new Use(m.use)));
             }
         }
         booting.forEach((name, r) -> {
             MachineType type = machines.type(r.type);
             if (type != null && !replica.machines().containsKey(name)
                     && context.now() - r.at < 2000 * type.bootS()) {
-                bins.add(new Bin(type, r.zone, r.spot));
+                add(bins, new Bin(type, r.zone, r.spot, new Use()));
             }
         });
         for (Rental r : rentals.values()) {
             MachineType type = machines.type(r.type);
             for (int i = 0; type != null && i < r.count; i++) {
-                bins.add(new Bin(type, r.zone, r.spot));
+                add(bins, new Bin(type, r.zone, r.spot, new Use()));
             }
         }
         Map<JobEntry, Double> unmet = new LinkedHashMap<>();
-        Map<String, double[]> more = new HashMap<>();
-        List<JobEntry> jobs = new ArrayList<>(replica.jobs());
-        jobs.removeIf(j -> j.job() == null || j.aborted() || machines.work(j.id).faulty());
+        Map<String, Use> more = new HashMap<>();
+        List<JobEntry> jobs = new ArrayList<>();
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && !job.aborted() && !faulty(job) && waiting(job) > 0) {
+                jobs.add(job);
+            }
+        }
         // Those with the fewest types to choose from come first, and the others take what they leave.
-        jobs.sort(Comparator.comparingInt(j -> machines.choices(j.job())));
+        jobs.sort(Comparator.comparingInt(j -> machines.choices(j.shape())));
+        Set<Job.Shape> full = new HashSet<>();
         for (JobEntry job : jobs) {
             Job spec = job.job();
-            double[] added = more.computeIfAbsent(spec.team(), t -> new double[1]);
-            int waiting = 0;
-            for (SliceEntry s : job.slices()) {
-                waiting += s.value().count() - s.value().done().cardinality() - s.value().attempts().size();
-            }
-            int allowed = (int) Math.min(waiting, quota.room(spec) - Math.ceil(added[0] / Math.max(0.001, spec.cpus())));
-            int left = 0;
-            for (int i = 0; i < Math.min(allowed, 500); i++) {
-                boolean taken = false;
-                for (Bin bin : bins) {
-                    if (bin.take(spec)) {
-                        taken = true;
-                        break;
-                    }
-                }
-                left += taken ? 0 : 1;
-            }
-            added[0] += Math.max(0, allowed) * spec.cpus();
+            Use team = more.computeIfAbsent(spec.team(), t -> new Use(machines.use(t)));
+            int allowed = Math.min(waiting(job), quota.room(spec, team));
+            team.add(spec, Math.max(0, allowed));
+            int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
             if (left > 0) {
+                full.add(job.shape());
                 // Short tasks share a slot one after the other while a machine is there. Where no machine would ever
                 // do, the smallest demand still needs one, or the job would wait for ever.
-                boolean hosted = bins.stream().anyMatch(b ->
-                        spec.allows(b.type.name(), b.zone, b.spot) && b.type.fits(spec) > 0);
                 double slots = left * Math.min(1, Math.max(0.1, spec.estimateS() / SLOT_S));
-                unmet.put(job, hosted ? slots : Math.max(slots, mostOnOne(spec)));
+                unmet.put(job, hosted(spec, job.shape()) ? slots : Math.max(slots, mostOnOne(spec)));
             }
         }
         return unmet;
     }
 
+    private static void add(Map<Place, List<Bin>> bins, Bin bin) {
+        bins.computeIfAbsent(new Place(bin.type.name(), bin.zone, bin.spot), p -> new ArrayList<>()).add(bin);
+    }
+
+    /** Puts tasks into the bins; returns how many find no room. */
+    private static int fill(Map<Place, List<Bin>> bins, JobEntry job, int tasks) {
+        int left = tasks;
+        for (Map.Entry<Place, List<Bin>> e : bins.entrySet()) {
+            Place place = e.getKey();
+            if (left > 0 && job.job().allows(place.type, place.zone, place.spot)) {
+                for (Iterator<Bin> i = e.getValue().iterator(); i.hasNext() && left > 0; ) {
+                    Bin bin = i.next();
+                    left -= bin.take(job.job(), left);
+                    if (bin.use.cpus() >= bin.type.cpus()) {
+                        i.remove();
+                    }
+                }
+            }
+        }
+        return left;
+    }
+
+    /** True if there is or soon will be a machine on which tasks of the shape can run at all. */
+    private boolean hosted(Job spec, Job.Shape shape) {
+        for (Machine m : machines.all()) {
+            MachineType type = machines.type(m.type);
+            if (type != null && type.holds(shape) && spec.allows(m.type, m.zone, m.spot) && takesTasks(m)) {
+                return true;
+            }
+        }
+        return booting.values().stream().anyMatch(r -> machines.type(r.type) != null
+                && machines.type(r.type).holds(shape) && spec.allows(r.type, r.zone, r.spot));
+    }
+
+    private boolean takesTasks(Machine m) {
+        if (m.owner == null || replica.machines().containsKey(m.name)) {
+            return false;
+        }
+        return m.owner.equals(context.settings().node()) ? placement.takesTasks(m) : machines.listedByOwner(m);
+    }
+
+    private boolean faulty(JobEntry job) {
+        Work work = machines.knownWork(job.id);
+        return work != null && work.faulty();
+    }
+
+    private static int waiting(JobEntry job) {
+        int waiting = 0;
+        for (SliceEntry s : job.slices()) {
+            waiting += s.value().waiting();
+        }
+        return waiting;
+    }
+
     private int mostOnOne(Job job) {
         return machines.types().stream().mapToInt(t -> t.fits(job)).max().orElse(1);
     }
@@ -378,7 +399,7 @@
                             || scarceUntil.getOrDefault(place, 0L) > context.now()) {
                         continue;
                     }
-                    double cost = type.price(spot) / fits * (1 + RIVAL * machines.rivals(job, type)) * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
+                    double cost = type.price(spot) / fits * (1 + RIVAL * machines.rivals(job.shape(), type)) * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
                     if (best == null || cost < bestCost) {
                         best = place;
                         bestCost = cost;
@@ -400,7 +421,7 @@
         List<Machine> idle = new ArrayList<>();
         for (String name : listed.keySet()) {
             Machine m = machines.get(name);
-            if (m != null && up.contains(name) && m.live.isEmpty() && !replica.machines().containsKey(name)
+            if (m != null && up.contains(name) && m.live.isEmpty() && m.use.none() && !replica.machines().containsKey(name)
                     && !writing.contains(name) && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
                 idle.add(m);
             }
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -12,18 +12,15 @@
     private final Machines machines;
     private final Membership membership;
     private final Journaller journaller;
-    private final Attempts attempts;
     private final Set<String> asking = new HashSet<>();
     private long incarnation;
 
-    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
-           Attempts attempts) {
+    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
         this.journaller = journaller;
-        this.attempts = attempts;
     }
 
     void tick() {
@@ -38,8 +35,8 @@
         int heard = 0;
         int silent = 0;
         long patience = (long) (context.settings().tuning().silentS() * 1000);
-        for (Machine m : machines.all()) {
-            if (attempts.owns(m.name) && (m.heardAt != 0 || !m.live.isEmpty())) {
+        for (Machine m : machines.own()) {
+            if (known(m)) {
                 if (silentFor(m) > patience) {
                     silent++;
                 } else {
@@ -47,25 +44,29 @@
                 }
             }
         }
-        for (Machine m : machines.all()) {
-            if (!attempts.owns(m.name) || replica.machines().containsKey(m.name) || asking.contains(m.name)) {
+        for (Machine m : machines.own()) {
+            if (replica.machines().containsKey(m.name) || asking.contains(m.name)) {
                 continue;
             }
-            if (machines.faulty(m)) {
+            if (!m.failedJobs.isEmpty() && machines.faulty(m)) {
                 condemn(m, "faulty");
-            } else if ((m.heardAt != 0 || !m.live.isEmpty()) && silentFor(m) > patience
-                    && (silent <= heard || silentFor(m) > 3 * patience)) {
-                // Where most are silent, it is more likely this controller that cannot hear.
-                condemn(m, "silent");
-            } else if (silentFor(m) > patience && m.live.stream().anyMatch(this::cancelledLong)) {
+            } else if (known(m) && silentFor(m) > patience && (silent <= heard || silentFor(m) > 3 * patience)) {
+                // Where most are silent, it is more likely this controller that cannot hear or is not heard.
+                condemn(m, m.sequence > 0 && m.doubtSince != 0 ? "out of reach" : "silent");
+            } else if (silentFor(m) > patience && m.live.values().stream().anyMatch(this::cancelledLong)) {
                 // A hanging machine keeps a cancelled task; only its deletion ends that in time.
                 condemn(m, "silent with a cancelled task");
             }
         }
     }
 
+    /** Not one of which there is only a report: that may be a late copy from a machine that is long gone. */
+    private static boolean known(Machine m) {
+        return m.heardAt != 0 || !m.live.isEmpty();
+    }
+
     private boolean cancelledLong(Machine.Live l) {
-        return l.job().aborted() && context.wall() - l.job().abortedMs() > context.settings().cancelS() * 300;
+        return l.job.aborted() && context.wall() - l.job.abortedMs() > context.settings().cancelS() * 300;
     }
 
     private long silentFor(Machine m) {
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -22,7 +22,11 @@
     }
 
     /** What decides where a task of the job may go and whether it fits. */
-    public record Shape(double cpus, double gpus, double memoryGb, List<String> types, String zone, boolean spot) { }
+    public record Shape(double cpus, double gpus, double memoryGb, List<String> types, String zone, boolean spot) {
+        public boolean allowsType(String type) {
+            return types.isEmpty() || types.contains(type);
+        }
+    }
 
     public Shape shape() {
         return new Shape(cpus, gpus, memoryGb, types, zone, spot);
--- a/src/main/java/dewlane/core/Journaller.java
+++ b/src/main/java/dewlane/core/Journaller.java
@@ -40,8 +40,15 @@
     }
 
     private static final int MAX_IN_FLIGHT = 8;
+    /** Writes that may wait in the queue before no more are built. */
+    private static final int MOST_WAITING = 6;
+    /** The part of the burst that is kept for outcomes and users. */
+    private static final double RESERVE = 0.25;
+    private static final double MOST_BOOST = 2.5;
+    private static final double BOOST_PER_S = 0.2;
 
     private final Context context;
+    private final Counters counters;
     private final PriorityQueue<Entry> queue = new PriorityQueue<>(
             Comparator.<Entry, Urgency>comparing(e -> e.urgency).thenComparingLong(e -> e.id));
     private final Long2ObjectLinkedOpenHashMap<Entry> inFlight = new Long2ObjectLinkedOpenHashMap<>();
@@ -49,9 +56,11 @@
     private double tokens;
     private long refilledAt = Long.MIN_VALUE;
     private int share = 1;
+    private double boost = 1;
 
-    Journaller(Context context) {
+    Journaller(Context context, Counters counters) {
         this.context = context;
+        this.counters = counters;
     }
 
     /** Live controllers share the write rate. */
@@ -64,9 +73,19 @@
         pump();
     }
 
-    /** True if launches should wait because more urgent writes already fill the rate. */
-    boolean congested() {
-        return queue.size() > 12;
+    /**
+     * True if a write of this urgency would be sent soon. Whoever builds writes from what is known asks first: what
+     * waits unbuilt gathers, what waits in the queue only grows old.
+     */
+    boolean open(Urgency urgency) {
+        refill();
+        return queue.size() < MOST_WAITING && tokens >= (urgency.compareTo(Urgency.USER) > 0 ? capacity() * RESERVE : 1);
+    }
+
+    /** True if changes are short, so that it pays to say more with each. */
+    boolean scarce() {
+        refill();
+        return tokens < capacity() / 2;
     }
 
     void answered(Input.TxnAnswer answer) {
@@ -75,8 +94,15 @@
             return;
         }
         switch (answer.status()) {
-            case COMMITTED, CONFLICT, INVALID -> entry.listener.answered(answer.status(), answer.revision());
+            case COMMITTED, CONFLICT, INVALID -> {
+                counters.conflicts += answer.status() == Txn.Status.CONFLICT ? 1 : 0;
+                entry.listener.answered(answer.status(), answer.revision());
+            }
             default -> {
+                if (answer.status() == Txn.Status.REFUSED) {
+                    counters.refused++;
+                    boost = Math.max(1, boost / 2);
+                }
                 entry.tries++;
                 entry.notBefore = context.now() + Math.min(1000, 50L << Math.min(entry.tries, 5))
                         + context.random().nextInt(50);
@@ -97,20 +123,23 @@
                 continue;
             }
             boolean reserved = entry.urgency.compareTo(Urgency.USER) > 0;
-            if (tokens < (reserved ? Math.min(cost + capacity() * 0.25, capacity()) : Math.min(cost, capacity()))
+            if (tokens < (reserved ? Math.min(cost + capacity() * RESERVE, capacity()) : Math.min(cost, capacity()))
                     && entry.urgency != Urgency.MEMBERSHIP) {
                 waiting.add(entry);
                 break;
             }
             tokens -= cost;
+            counters.writes++;
+            counters.changesWritten += entry.txn.apply().size();
             inFlight.put(entry.id, entry);
             context.emit(new Effect.SendTxn(entry.id, entry.txn));
         }
         queue.addAll(waiting);
     }
 
+    /** An equal share, and more as long as the state service refuses none: others may need less than theirs. */
     private double rate() {
-        return context.settings().stateWriteRps() * 0.85 / share;
+        return context.settings().stateWriteRps() * 0.85 / share * Math.min(boost, share);
     }
 
     private double capacity() {
@@ -121,7 +150,9 @@
         if (refilledAt == Long.MIN_VALUE) {
             tokens = capacity();
         } else {
-            tokens = Math.min(capacity(), tokens + rate() * (context.now() - refilledAt) / 1000.0);
+            double passedS = (context.now() - refilledAt) / 1000.0;
+            tokens = Math.min(capacity(), tokens + rate() * passedS);
+            boost = Math.min(MOST_BOOST, boost + BOOST_PER_S * passedS);
         }
         refilledAt = context.now();
     }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -4,10 +4,9 @@
 import dewlane.core.Replica.SliceEntry;
 import it.unimi.dsi.fastutil.objects.Object2DoubleLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,13 +16,27 @@
     record Key(String job, int task, int number) { }
 
     /** An attempt that the state service holds against this machine. */
-    record Live(JobEntry job, SliceEntry slice, Attempt attempt, Key key) {
+    static final class Live {
+        final JobEntry job;
+        final SliceEntry slice;
+        final Attempt attempt;
+        final Key key;
+        /** The controller against whose share of the team's limit it counts. */
+        String countedFor;
+        /** The machine reported its end, so it needs no room there any more. */
+        boolean over;
+
         Live(JobEntry job, SliceEntry slice, Attempt attempt) {
-            this(job, slice, attempt, new Key(job.id, attempt.task(), attempt.number()));
+            this.job = job;
+            this.slice = slice;
+            this.attempt = attempt;
+            this.key = new Key(job.id, attempt.task(), attempt.number());
         }
     }
 
     final String name;
+    /** The controller whose part the machine belongs to under the present map. */
+    String owner;
     /** When this controller first had to do with the machine under the present owner. */
     long since;
     String address;
@@ -33,20 +46,34 @@
     long session;
     long sequence;
     long seal;
+    /** When the machine last proved that it hears this controller, not only that it is heard; 0: never. */
     long heardAt;
-    /** The start of a peer that last said it hears the machine. */
+    /** Since when it is in doubt whether answers and commands reach the machine; 0: not. */
+    long doubtSince;
+    /** A report with this token ends the doubt: it was handed out after the doubt began. */
+    long challenge;
+    /** The token and launches of the latest answer to a report, which the next report must show. */
+    long promised;
+    final Set<Key> promisedLaunches = new HashSet<>();
+    /** The start of a peer that last said it hears the machine, and when. */
     String listedBy;
-    /** When the machine's worker first came here although another controller owns it. */
+    long listedAt;
+    /** When the machine's worker first came here although another controller owns it, and with which report. */
     long strayedAt;
+    long strayedSession;
+    long strayedSequence;
     /** When the cloud takes the machine away; 0: not announced. */
     long takenAt;
     Map<Key, Report.TaskState> reported = Map.of();
 
-    private long fenceEpoch;
+    private long tokenEpoch;
     private int fence;
     /** A direct launch got no answer, so it may still arrive under the present fence. */
     boolean unsure;
     boolean commandInFlight;
+    /** The worker has not been told the present owner's token although tasks may be on the machine. */
+    boolean tokenLate;
+    long probedAt;
     final Object2LongOpenHashMap<Key> commanded = new Object2LongOpenHashMap<>();
     /** Attempts to be stopped although their job goes on, and the grace they get. */
     final Map<Key, Double> stops = new HashMap<>();
@@ -56,11 +83,13 @@
     final Set<String> failedJobs = new HashSet<>();
     /** Images fetched here, most recently used last. */
     private final Object2DoubleLinkedOpenHashMap<String> images = new Object2DoubleLinkedOpenHashMap<>();
+    private double imageGb;
 
-    final List<Live> live = new ArrayList<>();
-    double usedCpus;
-    double usedGpus;
-    double usedMemory;
+    final Map<Key, Live> live = new LinkedHashMap<>();
+    /** What the attempts take that may be on the machine, those in a write under way included. */
+    final Use use = new Use();
+    /** Room that this pass keeps for jobs that others were stopped for; null: none. */
+    Use kept;
     long idleSince;
 
     Machine(String name, long now) {
@@ -69,36 +98,75 @@
         this.idleSince = now;
     }
 
-    /** The token of the present owner: its epoch, then the machine's fence within that epoch. */
-    long token(long epoch) {
-        if (fenceEpoch != epoch) {
-            fenceEpoch = epoch;
-            fence = 0;
-            unsure = false;
-        }
-        return (epoch << 20) | fence;
+    /**
+     * Begins anew under this controller. Tokens are above those of any owner before, and stay so while the machine does
+     * not change hands: a map that changes elsewhere fences off no launch of this part.
+     */
+    void acquire(long epoch, long now) {
+        tokenEpoch = epoch;
+        fence = 0;
+        unsure = false;
+        since = now;
+        heardAt = 0;
+        doubtSince = now;
+        challenge = token();
+        promised = 0;
+        promisedLaunches.clear();
+        probedAt = 0;
+        tokenLate = true;
+        takenAt = 0;
+        reported = Map.of();
+        forgetCommands();
+    }
+
+    /** How many tasks of the job the machine has room for, less what is kept for others. */
+    int room(MachineType of, Job job) {
+        return kept == null ? use.room(of, job) : new Use(use).add(kept).room(of, job);
+    }
+
+    void keep(Job job) {
+        kept = kept == null ? new Use() : kept;
+        kept.add(job);
+    }
+
+    /** The token of the present owner: the epoch at which it got the machine, then the machine's own fence. */
+    long token() {
+        return (tokenEpoch << 20) | fence;
     }
 
     /** From the next answer on, no launch commanded so far can be executed. */
-    void raiseFence(long epoch) {
-        token(epoch);
+    void raiseFence() {
         fence++;
         unsure = false;
     }
 
-    boolean heardWithin(long now, long ms) {
-        return heardAt != 0 && now - heardAt <= ms;
+    /** The machine has shown that it hears this controller. */
+    void confirm(long now) {
+        heardAt = now;
+        doubtSince = 0;
     }
 
-    boolean fits(MachineType of, Job job) {
-        return of.cpus() - usedCpus >= job.cpus() - 1e-9 && of.gpus() - usedGpus >= job.gpus() - 1e-9
-                && of.memoryGb() - usedMemory >= job.memoryGb() - 1e-9;
+    /**
+     * Being heard is not being reachable: from now on only an answer to a command, or a report with a token that was
+     * handed out after this moment, shows that the machine hears this controller. A late copy has neither.
+     */
+    void doubt(long now) {
+        doubtSince = now;
+        probedAt = 0;
+        boolean launchUnderWay = false;
+        for (Live l : live.values()) {
+            launchUnderWay |= l.attempt.token() == token() && l.attempt.session() == session && !reported.containsKey(l.key);
+        }
+        if (launchUnderWay) {
+            challenge = Long.MAX_VALUE;
+        } else {
+            raiseFence();
+            challenge = token();
+        }
     }
 
-    void use(Job job) {
-        usedCpus += job.cpus();
-        usedGpus += job.gpus();
-        usedMemory += job.memoryGb();
+    boolean heardWithin(long now, long ms) {
+        return heardAt != 0 && now - heardAt <= ms;
     }
 
     boolean hasImage(String image) {
@@ -106,13 +174,12 @@
     }
 
     void fetched(String image, double gb, double cacheGb) {
-        images.putAndMoveToLast(image, gb);
-        double sum = 0;
-        for (double size : images.values()) {
-            sum += size;
+        if (!images.containsKey(image)) {
+            imageGb += gb;
         }
-        while (sum > cacheGb && images.size() > 1) {
-            sum -= images.removeFirstDouble();
+        images.putAndMoveToLast(image, gb);
+        while (imageGb > cacheGb && images.size() > 1) {
+            imageGb -= images.removeFirstDouble();
         }
     }
 
@@ -121,5 +188,6 @@
         commanded.clear();
         stops.clear();
         unaccounted.clear();
+        promisedLaunches.clear();
     }
 }
--- a/src/main/java/dewlane/core/MachineType.java
+++ b/src/main/java/dewlane/core/MachineType.java
@@ -9,12 +9,12 @@
 
     /** How many tasks of the job fit on an empty machine. */
     public int fits(Job job) {
-        double n = Math.min(ratio(cpus, job.cpus()), Math.min(ratio(gpus, job.gpus()), ratio(memoryGb, job.memoryGb())));
-        return (int) Math.min(n, 1_000_000);
+        return new Use().room(this, job);
     }
 
-    private static double ratio(double have, double need) {
-        return need <= 0 ? 1_000_000 : Math.floor(have / need + 1e-9);
+    /** True if a task of the shape fits on an empty machine. */
+    public boolean holds(Job.Shape shape) {
+        return cpus >= shape.cpus() - 1e-9 && gpus >= shape.gpus() - 1e-9 && memoryGb >= shape.memoryGb() - 1e-9;
     }
 
     public double price(boolean spot) {
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -22,8 +22,11 @@
     /** A machine that is dropped from those moved falls back to its part by hash; the map's value stays small. */
     private static final int MOST_MOVED = 200;
 
+    private static final long ISOLATED_MS = 2000;
+
     private final Context context;
     private final Replica replica;
+    private final Machines machines;
     private final Journaller journaller;
     private final String self;
     private final Map<String, Long> missingSince = new HashMap<>();
@@ -39,9 +42,10 @@
     private long contactAt;
     private long newerSince;
 
-    Membership(Context context, Replica replica, Journaller journaller) {
+    Membership(Context context, Replica replica, Machines machines, Journaller journaller) {
         this.context = context;
         this.replica = replica;
+        this.machines = machines;
         this.journaller = journaller;
         this.self = context.settings().node();
     }
@@ -58,15 +62,17 @@
     /** True while the map holds this start of this controller. */
     boolean joined() {
         ClusterMap map = replica.map();
-        if (map == null || joinedAs == 0) {
-            return false;
-        }
-        for (Member m : map.members()) {
-            if (m.name().equals(self)) {
-                return m.incarnation() == joinedAs;
-            }
-        }
-        return false;
+        return map != null && joinedAs != 0 && map.incarnation(self) == joinedAs;
+    }
+
+    /**
+     * True if this controller reaches neither the state service nor another controller for so long that its lease must
+     * have ended. The others have taken its part over then, and its workers had better go to them; in an outage for
+     * all the others are heard, and the workers are kept.
+     */
+    boolean isolated() {
+        long ms = context.settings().tuning().memberTtlMs() + ISOLATED_MS;
+        return silence() > ms && machines.alone(ms);
     }
 
     /** The epoch at which this controller last joined. */
@@ -188,8 +194,8 @@
         if (!claims.isEmpty()) {
             context.info("taking over machines that cannot reach their controller: " + claims);
             Map<String, String> claimed = new HashMap<>();
-            claims.forEach(m -> claimed.put(m, self));
-            claims.clear();
+            claims.stream().limit(MOST_MOVED).forEach(m -> claimed.put(m, self));
+            claims.removeAll(claimed.keySet());
             write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
                     .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed)).build(), joinedAs);
         }
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -19,17 +19,30 @@
 /**
  * Puts the tasks of this controller's slices on the machines of its part, and makes outcomes of attempts on them
  * durable, whoever owns the slice. Per job one write is under way at a time; it holds all that is to be said.
+ *
+ * <p>Writes are built when they can be sent: while the rate of changes is short, what is to be said of a job gathers,
+ * and one change says more.
  */
 final class Placement {
-    /** A larger set of machines is sampled, not searched. */
-    private static final int SAMPLE = 64;
+    /** A larger set of machines with room is sampled, not searched. */
+    private static final int SAMPLE = 256;
     /** How often a waiting job looks for room in other parts. */
     private static final long LOOK_MS = 400;
+    /** How long after it was handed on a job stays where it is. */
+    private static final long HANDED_MS = 2000;
     /** Attempts in one write, which must stay below 64 KiB; the rest follows in the next. */
-    private static final int MOST_ATTEMPTS = 300;
+    private static final int MOST_ATTEMPTS = 900;
+    /** What an attempt takes of a slice's value at most. */
+    private static final int ATTEMPT_BYTES = 50;
+    /** Conditions of a launch other than those on its machines: job, map, team and slices. */
+    private static final int OTHER_GUARDS = 8;
+    /** How long outcomes may gather while the rate of changes is short. */
+    private static final long GATHER_MS = 3000;
     /** Seconds of fetching that are worth leaving a machine to tasks that have fewer types to choose from. */
     private static final double RIVAL_S = 8;
 
+    private record Candidate(Machine machine, double cost) { }
+
     private final Context context;
     private final Replica replica;
     private final Machines machines;
@@ -38,16 +51,18 @@
     private final Release release;
     private final Quota quota;
     private final Dealer dealer;
-    private final Attempts attempts;
+    private final Counters counters;
     private final Preemption preemption;
     private final String self;
     private final int maxLive;
     private List<Machine> usable = List.of();
+    /** Usable machines that are not full. */
+    private final List<Machine> free = new ArrayList<>();
     /** Shapes for which this pass found no room. */
     private final Set<Job.Shape> full = new HashSet<>();
 
     Placement(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
-              Release release, Quota quota, Dealer dealer, Attempts attempts) {
+              Release release, Quota quota, Dealer dealer, Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -56,17 +71,17 @@
         this.release = release;
         this.quota = quota;
         this.dealer = dealer;
-        this.attempts = attempts;
+        this.counters = counters;
         this.preemption = new Preemption(context, machines, quota);
         this.self = context.settings().node();
-        this.maxLive = Math.max(8, context.settings().valueBytes() / 200);
+        this.maxLive = Math.max(8, context.settings().valueBytes() / ATTEMPT_BYTES);
     }
 
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
-        return m.type != null && machines.type(m.type) != null && m.takenAt == 0 && !machines.faulty(m)
-                && m.heardWithin(context.now(), (long) (context.settings().reportS() * 1800))
-                && !replica.machines().containsKey(m.name) && attempts.owns(m.name);
+        return m.type != null && machines.type(m.type) != null && m.takenAt == 0 && m.doubtSince == 0
+                && m.heardWithin(context.now(), context.settings().heardMs())
+                && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
     }
 
     /** Machines of this part that take tasks, as of the latest pass. */
@@ -74,28 +89,33 @@
         return usable;
     }
 
-    /** Looks at everything once. */
+    /** Looks at all jobs for what can be written, at the machines of this part, and at no other. */
     void pass() {
-        machines.reindex();
+        machines.settle();
         if (!membership.joined()) {
             usable = List.of();
             return;
         }
         usable = new ArrayList<>();
+        free.clear();
         full.clear();
-        for (Machine m : machines.all()) {
+        for (Machine m : machines.own()) {
             if (takesTasks(m)) {
                 usable.add(m);
+                if (m.use.cpus() < machines.type(m.type).cpus()) {
+                    free.add(m);
+                }
             }
-            saveInTime(m);
-            takeProof(m);
-        }
-        for (JobEntry job : List.copyOf(replica.jobs())) {
-            if (job.job() != null && !release.isReady(job.id)) {
-                step(job, false);
+            if (m.takenAt != 0) {
+                saveInTime(m);
             }
         }
-        boolean launches = membership.silence() < 2000 && !journaller.congested();
+        replica.machines().forEach((name, entry) -> {
+            if (entry.record().fate() == Value.MachineFate.GONE) {
+                takeProof(machines.get(name));
+            }
+        });
+        boolean launches = membership.silence() < 2000;
         List<JobEntry> order = new ArrayList<>();
         for (String id : release.ready()) {
             JobEntry job = replica.job(id);
@@ -103,7 +123,15 @@
                 order.add(job);
             }
         }
+        counters.passes++;
+        counters.jobsLookedAt += order.size();
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && !release.isReady(job.id)) {
+                step(job, false);
+            }
+        }
         Set<String> guaranteed = quota.guaranteed(order);
+        order.removeIf(j -> !hasToDo(j));
         order.sort(Comparator.comparing((JobEntry j) -> guaranteed.contains(j.id))
                 .thenComparing(j -> j.job().priority()).reversed());
         preemption.begin(usable, guaranteed);
@@ -112,38 +140,65 @@
         }
     }
 
+    private boolean hasToDo(JobEntry job) {
+        Work work = machines.knownWork(job.id);
+        if (work != null && !work.outcomes.isEmpty()) {
+            return true;
+        }
+        for (SliceEntry s : job.slices()) {
+            if (s.value().waiting() > 0 && ownsSlice(s, s.value())) {
+                return true;
+            }
+        }
+        return job.complete() && ends(job);
+    }
+
+    /** Where several controllers made the last outcomes durable, one of them ends the job, so that they do not race. */
+    private boolean ends(JobEntry job) {
+        return self.equals(Parts.owner(replica.map(), Keys.job(job.id)));
+    }
+
+    private boolean ownsSlice(SliceEntry slice, Slice value) {
+        return self.equals(Parts.owner(replica.map(), slice.key, value));
+    }
+
     /** All that was on a machine that is proven gone is gone. */
     private void takeProof(Machine m) {
-        Replica.MachineEntry entry = replica.machines().get(m.name);
-        if (entry != null && entry.record().fate() == Value.MachineFate.GONE && attempts.owns(m.name)) {
-            for (Live l : m.live) {
-                machines.work(l.job().id).outcomes.putIfAbsent(l.key(), Outcome.GONE);
+        if (m != null && self.equals(m.owner)) {
+            for (Live l : m.live.values()) {
+                record(machines.work(l.job.id), l.key, Outcome.GONE);
             }
         }
     }
 
+    /** Notes an outcome that is to be made durable; true if it is the first for the attempt. */
+    boolean record(Work work, Key key, Outcome outcome) {
+        if (work.outcomes.isEmpty()) {
+            work.outcomesSince = context.now();
+        }
+        return work.outcomes.putIfAbsent(key, outcome) == null;
+    }
+
     /** Tasks on a machine that is soon taken away save as late as is safe. */
     private void saveInTime(Machine m) {
-        if (m.takenAt == 0) {
-            return;
-        }
-        for (Live l : m.live) {
-            Job job = l.job().job();
-            if (job.checkpointS() > 0 && m.takenAt - context.now() < (job.saveS() + 5) * 1000) {
-                m.stops.putIfAbsent(l.key(), job.saveS() + 1);
+        for (Live l : m.live.values()) {
+            Job job = l.job.job();
+            if (job.checkpointS() > 0 && m.takenAt - context.now() < (job.saveS() + 5) * 1000
+                    && m.stops.putIfAbsent(l.key, job.saveS() + 1) == null) {
+                machines.touch(m);
             }
         }
     }
 
     private void step(JobEntry job, boolean launches) {
         Work work = machines.work(job.id);
-        if (work.busy(replica.revision())) {
+        if (work.busy(replica.revision()) || !journaller.open(Journaller.Urgency.OUTCOME)) {
             return;
         }
         Map<SliceEntry, Slice> next = new LinkedHashMap<>();
         int room = MOST_ATTEMPTS;
         for (SliceEntry slice : job.slices()) {
-            Slice after = room > 0 ? applyOutcomes(slice.value(), work) : slice.value();
+            Slice after = room > 0 ? applyOutcomes(job, slice.value(), work) : slice.value();
             if (after != slice.value()) {
                 next.put(slice, after);
                 room -= after.attempts().size();
@@ -151,35 +206,50 @@
         }
         Txn.Builder txn = new Txn.Builder();
         List<Work.Launch> launched = new ArrayList<>();
-        if (job.aborted()) {
-            if (noneLive(job, next)) {
-                finish(job, txn);
+        boolean decided = false;
+        if (job.aborted() ? noneLive(job, next) : allDone(job, next)) {
+            if (next.isEmpty() && !ends(job)) {
+                return;
+            }
+            if (!job.aborted()) {
+                txn.set(Keys.fin(job.id), new Value.FinalRecord(false, context.wall()));
             }
-        } else if (allDone(job, next)) {
-            txn.set(Keys.fin(job.id), new Value.FinalRecord(false, context.wall()));
             finish(job, txn);
-        } else if (launches && context.now() >= work.notBefore) {
-            launch(job, work, next, txn, launched, room);
-        }
-        if (txn.writes() == 0 || !launched.isEmpty()) {
-            next.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
+        } else {
+            if (!job.aborted() && launches && context.now() >= work.notBefore && journaller.open(Journaller.Urgency.LAUNCH)) {
+                decided = launch(job, work, next, txn, launched, room);
+            }
+            if (decided || !mayGather(work, next)) {
+                next.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
+            }
         }
         if (txn.writes() > 0) {
             write(job, work, txn, launched);
         }
     }
 
+    /** More will soon be to be said, and changes are short: outcomes of tasks whose slice has others running can wait. */
+    private boolean mayGather(Work work, Map<SliceEntry, Slice> next) {
+        if (!journaller.scarce() || context.now() - work.outcomesSince > GATHER_MS
+                || work.outcomes.values().stream().anyMatch(o -> o != Outcome.DONE)) {
+            return false;
+        }
+        return next.values().stream().anyMatch(s -> !s.attempts().isEmpty());
+    }
+
     /** Removes what is held of a job that is over; its final state stays. */
     private void finish(JobEntry job, Txn.Builder txn) {
         txn.when(Keys.job(job.id), job.version()).delete(Keys.job(job.id));
         for (SliceEntry slice : job.slices()) {
-            txn.when(slice.key, slice.version()).delete(slice.key);
+            txn.when(slice.key, slice.version());
+            if (slice.version() != 0) {
+                txn.delete(slice.key);
+            }
         }
     }
 
     private void write(JobEntry job, Work work, Txn.Builder txn, List<Work.Launch> launched) {
         work.writing = true;
-        work.launching = launched;
         Job spec = job.job();
         boolean counted = !launched.isEmpty();
         Journaller.Urgency urgency = counted ? Journaller.Urgency.LAUNCH : Journaller.Urgency.OUTCOME;
@@ -192,14 +262,14 @@
         });
     }
 
-    private Slice applyOutcomes(Slice slice, Work work) {
+    private Slice applyOutcomes(JobEntry job, Slice slice, Work work) {
         if (work.outcomes.isEmpty() || slice.attempts().isEmpty()) {
             return slice;
         }
         BitSet done = slice.done();
         List<Attempt> left = new ArrayList<>();
         for (Attempt a : slice.attempts()) {
-            Outcome outcome = outcomeOf(work, a);
+            Outcome outcome = work.outcomes.get(new Key(job.id, a.task(), a.number()));
             if (outcome == null) {
                 left.add(a);
             } else if (outcome == Outcome.DONE) {
@@ -211,15 +281,6 @@
                 : new Slice(slice.owner(), slice.first(), slice.count(), slice.launches(), done, List.copyOf(left));
     }
 
-    private static Outcome outcomeOf(Work work, Attempt a) {
-        for (Map.Entry<Key, Outcome> e : work.outcomes.entrySet()) {
-            if (e.getKey().task() == a.task() && e.getKey().number() == a.number()) {
-                return e.getValue();
-            }
-        }
-        return null;
-    }
-
     private static boolean noneLive(JobEntry job, Map<SliceEntry, Slice> next) {
         return job.slices().stream().allMatch(s -> next.getOrDefault(s, s.value()).attempts().isEmpty());
     }
@@ -232,101 +293,151 @@
         return done == job.job().tasks();
     }
 
-    private void launch(JobEntry job, Work work, Map<SliceEntry, Slice> next, Txn.Builder txn,
-                        List<Work.Launch> launched, int roomInWrite) {
+    /** True if something is to be written: launches, or tasks handed to another part. */
+    private boolean launch(JobEntry job, Work work, Map<SliceEntry, Slice> next, Txn.Builder txn,
+                           List<Work.Launch> launched, int roomInWrite) {
         Job spec = job.job();
         if (quota.busy(spec)) {
-            return;
+            return false;
         }
-        Job.Shape shape = spec.shape();
+        boolean anyHanded = false;
         Set<String> used = new HashSet<>();
+        List<Candidate> candidates = null;
         int room = roomInWrite;
         for (SliceEntry slice : job.slices()) {
             Slice value = next.getOrDefault(slice, slice.value());
             if (room <= 0) {
                 break;
             }
-            if (!self.equals(Parts.owner(replica.map(), slice.key, slice.value())) || value.complete()) {
+            if (value.waiting() <= 0 || !ownsSlice(slice, value)) {
                 continue;
             }
-            List<Attempt> live = new ArrayList<>(value.attempts());
-            int number = value.launches() + 1;
-            boolean stuck = false;
-            for (int task = value.first(); task < value.first() + value.count() && live.size() < maxLive; task++) {
-                if (value.isDone(task) || value.attemptOf(task) != null) {
-                    continue;
-                }
-                Machine m = used.size() >= context.settings().txnOps() * 2 || quota.room(spec) < 1 || full.contains(shape)
-                        ? null : choose(job, live, spec);
-                if (m == null) {
-                    // Room only shrinks during a pass, so further jobs of the shape need not look for it.
-                    if (!spec.placesLinked() && work.errors == 0 && quota.room(spec) > 0 && used.isEmpty()) {
-                        full.add(shape);
-                    }
-                    stuck = true;
-                    break;
-                }
-                Attempt a = new Attempt(task, number, m.name, m.session, attempts.token(m), context.wall());
-                live.add(a);
-                launched.add(new Work.Launch(m, a, slice.number));
-                used.add(m.name);
-                m.use(spec);
-                quota.add(spec);
+            if (candidates == null) {
+                candidates = full.contains(job.shape()) ? List.of() : candidates(job, spec);
+            }
+            int most = Math.min(Math.min(value.waiting(), maxLive - value.attempts().size()), Math.min(room, quota.room(spec)));
+            List<Attempt> live = place(job, slice, value, candidates, most, used, launched);
+            int unplaced = value.waiting() - (live.size() - value.attempts().size());
+            boolean stuck = unplaced > 0 && live.size() - value.attempts().size() < most;
+            if (stuck && used.isEmpty() && !spec.placesLinked() && work.errors == 0) {
+                // Room only shrinks during a pass, so further jobs of the shape need not look for it.
+                full.add(job.shape());
             }
-            int unplaced = value.count() - value.done().cardinality() - live.size();
             boolean handed = false;
             if (live.size() > value.attempts().size()) {
                 room -= live.size();
-                next.put(slice, new Slice(self, value.first(), value.count(), number, value.done(), List.copyOf(live)));
-            } else if (stuck && quota.room(spec) > 0 && launched.isEmpty()
-                    && context.now() - work.handedAt > 2000 && context.now() - work.lookedAt > LOOK_MS) {
-                work.lookedAt = context.now();
-                String to = dealer.better(spec, self);
-                handed = to != null;
-                if (handed) {
-                    work.handedAt = context.now();
-                    context.debug("handing " + slice.key + " to " + to);
-                    next.put(slice, new Slice(to, value.first(), value.count(), value.launches(), value.done(),
-                            value.attempts()));
-                }
+                next.put(slice, new Slice(self, value.first(), value.count(), value.launches() + 1, value.done(), List.copyOf(live)));
+            } else if (launched.isEmpty() && unplaced > 0 && quota.spare(spec)) {
+                handed = handOver(job, work, slice, value, next, txn);
+                anyHanded |= handed;
             }
             if (stuck && !handed) {
                 preemption.makeRoom(job, Math.min(unplaced, quota.room(spec)));
             }
         }
+        if (launched.isEmpty() && !anyHanded) {
+            return false;
+        }
+        // A cancelled job, a slice dealt anew, a machine being returned or a newer map each stop the launch here.
+        txn.when(Keys.job(job.id), job.version()).when(Keys.MAP, replica.mapVersion());
+        used.forEach(name -> txn.when(Keys.machine(name), 0));
         if (!launched.isEmpty()) {
-            // A cancelled job, a slice dealt anew, a machine being returned or a newer map each stop the launch here.
-            txn.when(Keys.job(job.id), job.version()).when(Keys.MAP, replica.mapVersion());
-            used.forEach(name -> txn.when(Keys.machine(name), 0));
             quota.guard(txn, spec);
         }
+        return true;
+    }
+
+    /** The slice's attempts with up to {@code most} new ones on the cheapest machines. */
+    private List<Attempt> place(JobEntry job, SliceEntry slice, Slice value, List<Candidate> candidates, int most,
+                                Set<String> used, List<Work.Launch> launched) {
+        Job spec = job.job();
+        List<Attempt> live = new ArrayList<>(value.attempts());
+        Map<String, Integer> zones = spec.placesLinked() ? zonesOf(live) : Map.of();
+        if (most <= 0 || candidates.isEmpty() || zones == null) {
+            return live;
+        }
+        BitSet taken = value.taken();
+        int offset = taken.nextClearBit(0);
+        int number = value.launches() + 1;
+        int left = most;
+        for (Candidate c : candidates) {
+            Machine m = c.machine;
+            if (left <= 0 || !used.contains(m.name) && used.size() >= 4 * context.settings().txnOps() - OTHER_GUARDS) {
+                break;
+            }
+            int here = Math.min(left, m.room(machines.type(m.type), spec));
+            while (here-- > 0 && zoneAllowed(spec, zones, m.zone)) {
+                Attempt a = new Attempt(value.first() + offset, number, m.name, m.session, m.token(), context.wall());
+                live.add(a);
+                Work.Launch launch = new Work.Launch(m, a, slice.number, spec);
+                launched.add(launch);
+                machines.launching(job, launch);
+                used.add(m.name);
+                if (spec.placesLinked()) {
+                    zones.merge(m.zone, 1, Integer::sum);
+                }
+                offset = taken.nextClearBit(offset + 1);
+                left--;
+            }
+        }
+        return live;
     }
 
-    private Machine choose(JobEntry job, List<Attempt> slice, Job spec) {
-        Map<String, Integer> zones = spec.placesLinked() ? zonesOf(slice) : Map.of();
-        if (zones == null) {
-            return null;
+    /**
+     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine, or else as many of its
+     * last tasks as wait there and find room, as a slice of their own. What is on a machine never changes hands this
+     * way, as it counts against the share of its team's limit that this controller has.
+     */
+    private boolean handOver(JobEntry job, Work work, SliceEntry slice, Slice value, Map<SliceEntry, Slice> next, Txn.Builder txn) {
+        Job spec = job.job();
+        if (context.now() - work.handedAt < HANDED_MS || context.now() - work.lookedAt < LOOK_MS) {
+            return false;
+        }
+        work.lookedAt = context.now();
+        Dealer.Offer to = dealer.better(job, self);
+        if (to == null) {
+            return false;
+        }
+        int tail = value.count() - value.taken().length();
+        int moved = spec.placesLinked() ? value.count() : Math.min(tail, to.room());
+        if (moved == value.count() && value.attempts().isEmpty()) {
+            next.put(slice, new Slice(to.node(), value.first(), value.count(), value.launches(), value.done(), value.attempts()));
+        } else if (moved > 0 && moved < value.count()) {
+            int first = value.first() + value.count() - moved;
+            next.put(slice, new Slice(value.owner(), value.first(), value.count() - moved, value.launches(),
+                    value.done(), value.attempts()));
+            String key = Keys.slice(job.id, job.nextSlice());
+            txn.when(key, 0).set(key, new Slice(to.node(), first, moved, value.launches(), new BitSet(), List.of()));
+        } else {
+            return false;
         }
-        Machine best = null;
-        double bestCost = 0;
-        int n = usable.size();
+        work.handedAt = context.now();
+        counters.handed++;
+        context.debug("handing " + moved + " tasks of " + slice.key + " to " + to.node());
+        return true;
+    }
+
+    /** Machines with room for a task of the job, the cheapest first. */
+    private List<Candidate> candidates(JobEntry job, Job spec) {
+        List<Candidate> found = new ArrayList<>();
+        Map<String, double[]> byType = new HashMap<>();
+        int n = free.size();
         int offset = n > SAMPLE ? context.random().nextInt(n) : 0;
+        counters.machinesLookedAt += Math.min(n, SAMPLE);
         for (int i = 0; i < Math.min(n, SAMPLE); i++) {
-            Machine m = usable.get((offset + i) % n);
+            Machine m = free.get((offset + i) % n);
             MachineType type = machines.type(m.type);
-            if (!spec.allows(m.type, m.zone, m.spot) || !m.fits(type, spec) || !zoneAllowed(spec, zones, m.zone)
+            if (m.room(type, spec) < 1 || !spec.allows(m.type, m.zone, m.spot)
                     || (m.failedJobs.contains(job.id) && !machines.work(job.id).faulty())) {
                 continue;
             }
-            double cost = (m.hasImage(spec.image()) ? 0 : spec.imageGb() / type.fetchGbPerS())
-                    + machines.rivals(spec, type) * RIVAL_S
-                    + 2 * (type.cpus() - m.usedCpus - spec.cpus()) / type.cpus();
-            if (best == null || cost < bestCost) {
-                best = m;
-                bestCost = cost;
-            }
+            double[] of = byType.computeIfAbsent(m.type, t -> new double[] {
+                    spec.imageGb() / type.fetchGbPerS(), machines.rivals(job.shape(), type) * RIVAL_S});
+            found.add(new Candidate(m, (m.hasImage(spec.image()) ? 0 : of[0]) + of[1]
+                    + 2 * (type.cpus() - m.use.cpus() - spec.cpus()) / type.cpus()));
         }
-        return best;
+        found.sort(Comparator.comparingDouble(Candidate::cost));
+        return found;
     }
 
     /** Live tasks a zone, or null if the zone of one is not known. */
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -1,5 +1,6 @@
 package dewlane.core;
 
+import dewlane.core.Machine.Key;
 import dewlane.core.Machine.Live;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 
 /**
@@ -19,6 +21,10 @@
     /** A task is left alone once its job has used this part of the time in which it should be done. */
     private static final double SPARE = 0.5;
 
+    private static final int SAMPLE = 64;
+
+    private record Offer(Machine machine, List<Live> victims, double loss) { }
+
     /** Jobs with the same claim may stop the same tasks. */
     private record Claim(Job.Shape shape, Priority priority, boolean guaranteed, String team) { }
 
@@ -27,8 +33,9 @@
     private final Quota quota;
     private List<Machine> usable = List.of();
     private Set<String> guaranteed = Set.of();
-    /** Room that stops under way will leave: CPUs, GPUs, memory. */
-    private final Map<Machine, double[]> coming = new HashMap<>();
+    /** What is in use once the stops under way have ended, with the room that is kept for those they were made for. */
+    private final Map<Machine, Use> coming = new HashMap<>();
+    private final List<Machine> keeping = new ArrayList<>();
     /** Claims for which this pass found nothing to stop. */
     private final Set<Claim> hopeless = new HashSet<>();
 
@@ -44,59 +51,75 @@
         guaranteed = guaranteedNow;
         coming.clear();
         hopeless.clear();
+        keeping.forEach(m -> m.kept = null);
+        keeping.clear();
         for (Machine m : usable) {
-            for (Live l : m.live) {
-                if (m.stops.containsKey(l.key())) {
-                    free(m, l.job().job());
+            for (Key key : m.stops.keySet()) {
+                Live l = m.live.get(key);
+                if (l != null && !l.over) {
+                    free(m, l.job.job());
                 }
             }
         }
     }
 
+    /** Room on the machine once the stops under way have ended. */
     private void free(Machine m, Job job) {
-        double[] room = coming.computeIfAbsent(m, k -> new double[3]);
-        room[0] += job.cpus();
-        room[1] += job.gpus();
-        room[2] += job.memoryGb();
+        coming.computeIfAbsent(m, k -> new Use(k.use)).remove(job);
+    }
+
+    private Use after(Machine m) {
+        return coming.getOrDefault(m, m.use);
     }
 
     /** Keeps room for up to the given number of tasks, and stops what may be stopped for the rest. */
     void makeRoom(Replica.JobEntry job, int tasks) {
         Job spec = job.job();
-        if (spec.placesLinked() || ageS(spec) < patienceS(job)) {
+        if (tasks < 1 || spec.placesLinked() || ageS(spec) < patienceS(job)) {
             return;
         }
-        Claim claim = new Claim(spec.shape(), spec.priority(), guaranteed.contains(job.id), spec.team());
+        Claim claim = new Claim(job.shape(), spec.priority(), guaranteed.contains(job.id), spec.team());
         if (hopeless.contains(claim)) {
             return;
         }
+        PriorityQueue<Offer> offers = new PriorityQueue<>(Comparator.comparingDouble(Offer::loss));
+        int n = usable.size();
+        int offset = n > SAMPLE ? context.random().nextInt(n) : 0;
+        for (int i = 0; i < Math.min(n, SAMPLE); i++) {
+            offer(usable.get((offset + i) % n), job, offers);
+        }
         for (int i = 0; i < tasks; i++) {
-            Machine best = null;
-            List<Live> victims = List.of();
-            double bestLoss = Double.MAX_VALUE;
-            for (Machine m : usable) {
-                if (!spec.allows(m.type, m.zone, m.spot) || machines.type(m.type).fits(spec) < 1) {
-                    continue;
-                }
-                List<Live> chosen = fits(m, spec, List.of()) ? List.of() : victims(m, job);
-                if (chosen != null && loss(chosen) < bestLoss) {
-                    best = m;
-                    victims = chosen;
-                    bestLoss = loss(chosen);
-                }
-            }
+            Offer best = offers.poll();
             if (best == null) {
                 hopeless.add(claim);
                 return;
             }
-            for (Live v : victims) {
-                Job lost = v.job().job();
-                context.debug("stopping " + v.job().id + "/" + v.attempt().task() + " on " + best.name + " for " + job.id);
-                best.stops.put(v.key(), lost.checkpointS() > 0 ? lost.saveS() + 1 : 0);
-                free(best, lost);
+            Machine m = best.machine;
+            for (Live v : best.victims) {
+                Job lost = v.job.job();
+                context.debug("stopping " + v.job.id + "/" + v.attempt.task() + " on " + m.name + " for " + job.id);
+                m.stops.put(v.key, lost.checkpointS() > 0 ? lost.saveS() + 1 : 0);
+                free(m, lost);
             }
+            machines.touch(m);
             // Nobody further down the order gets this room in the meantime.
-            best.use(spec);
+            coming.computeIfAbsent(m, k -> new Use(k.use)).add(spec);
+            m.keep(spec);
+            keeping.add(m);
+            offer(m, job, offers);
+        }
+    }
+
+    /** What it costs to make room for one more task on the machine. */
+    private void offer(Machine m, Replica.JobEntry job, PriorityQueue<Offer> offers) {
+        Job spec = job.job();
+        MachineType type = machines.type(m.type);
+        if (!spec.allows(m.type, m.zone, m.spot) || !type.holds(job.shape())) {
+            return;
+        }
+        List<Live> victims = after(m).room(type, spec) > 0 ? List.of() : victims(m, type, job);
+        if (victims != null) {
+            offers.add(new Offer(m, victims, loss(victims)));
         }
     }
 
@@ -118,33 +141,21 @@
         return Math.min(30, Math.max(1, PATIENCE * may));
     }
 
-    private boolean fits(Machine m, Job spec, List<Live> without) {
-        MachineType type = machines.type(m.type);
-        double[] room = coming.getOrDefault(m, new double[3]);
-        double cpus = type.cpus() - m.usedCpus + room[0];
-        double gpus = type.gpus() - m.usedGpus + room[1];
-        double memory = type.memoryGb() - m.usedMemory + room[2];
-        for (Live l : without) {
-            cpus += l.job().job().cpus();
-            gpus += l.job().job().gpus();
-            memory += l.job().job().memoryGb();
-        }
-        return cpus >= spec.cpus() - 1e-9 && gpus >= spec.gpus() - 1e-9 && memory >= spec.memoryGb() - 1e-9;
-    }
-
     /** The tasks whose stop costs least and makes room on the machine, or null. */
-    private List<Live> victims(Machine m, Replica.JobEntry job) {
+    private List<Live> victims(Machine m, MachineType type, Replica.JobEntry job) {
         List<Live> may = new ArrayList<>();
-        for (Live l : m.live) {
-            if (!m.stops.containsKey(l.key()) && m.reported.containsKey(l.key()) && mayStop(l, job)) {
+        for (Live l : m.live.values()) {
+            if (!l.over && !m.stops.containsKey(l.key) && m.reported.containsKey(l.key) && mayStop(l, job)) {
                 may.add(l);
             }
         }
         may.sort(Comparator.comparingDouble(this::loss));
+        Use left = new Use(after(m));
         List<Live> chosen = new ArrayList<>();
         for (Live l : may) {
             chosen.add(l);
-            if (fits(m, job.job(), chosen)) {
+            left.remove(l.job.job());
+            if (left.room(type, job.job()) > 0) {
                 return chosen;
             }
         }
@@ -152,14 +163,14 @@
     }
 
     private boolean mayStop(Live l, Replica.JobEntry job) {
-        Job theirs = l.job().job();
-        if (l.job().aborted() || ageS(theirs) > SPARE * context.settings().within("finished", theirs.lot())) {
+        Job theirs = l.job.job();
+        if (l.job.aborted() || ageS(theirs) > SPARE * context.settings().within("finished", theirs.lot())) {
             return false;
         }
         if (theirs.priority().compareTo(job.job().priority()) < 0) {
             return true;
         }
-        return guaranteed.contains(job.id) && !guaranteed.contains(l.job().id)
+        return guaranteed.contains(job.id) && !guaranteed.contains(l.job.id)
                 && !theirs.team().equals(job.job().team()) && quota.borrows(theirs);
     }
 
@@ -173,8 +184,8 @@
 
     /** CPU seconds that are lost when the task is stopped now. */
     private double loss(Live l) {
-        Job job = l.job().job();
-        double ran = (context.wall() - l.attempt().launchedMs()) / 1000.0;
+        Job job = l.job.job();
+        double ran = (context.wall() - l.attempt.launchedMs()) / 1000.0;
         return job.cpus() * (1 + (job.checkpointS() > 0 ? Math.min(ran, job.saveS()) : ran));
     }
 }
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -8,13 +8,22 @@
 import java.util.Set;
 
 /**
- * Keeps every team within its limit.
+ * Keeps every team within its limit, in one of two ways; the settings and the map, which every launch is conditional on,
+ * say which, so all controllers agree.
  *
- * <p>Each launch for a limited team is conditional on the team key and changes it. If the key still has the version
- * that the replica shows, no launch for the team is missing from the replica, so the use counted there, which holds
- * every attempt that is not proven gone, is an upper bound.
+ * <p>A small limit is lent launch by launch: each launch is conditional on the team key and changes it. If the key still
+ * has the version that the replica shows, no launch for the team is missing from the replica, so the use counted there,
+ * which holds every attempt that is not proven gone, is an upper bound.
+ *
+ * <p>Of a large limit each controller of the map has an equal share and needs no key: what is on machines counts against
+ * the owner of its slice, who alone launches there, so a controller knows its own use. Another may come to own more than
+ * its share when a controller leaves; it then starts nothing, and the others keep that much of theirs free.
  */
 final class Quota {
+    /** From such a share of a limit on it is not lent launch by launch. */
+    private static final double SHARE_CPUS = 256;
+    private static final double SHARE_GPUS = 64;
+
     private final Settings settings;
     private final Replica replica;
     private final Machines machines;
@@ -31,22 +40,65 @@
         return settings.teams().get(job.team());
     }
 
+    boolean limited(Job job) {
+        return team(job) != null && team(job).limited();
+    }
+
+    /** True if the limit is so large that a share of it does not hold work up. */
+    private boolean shared(Settings.Team team) {
+        int n = replica.map() == null ? 1 : replica.map().members().size();
+        return (team.cpusMax() <= 0 || team.cpusMax() / n >= SHARE_CPUS) && (team.gpusMax() <= 0 || team.gpusMax() / n >= SHARE_GPUS);
+    }
+
     boolean busy(Job job) {
-        return team(job) != null && team(job).limited() && settledAt.getOrDefault(job.team(), 0L) > replica.revision();
+        return limited(job) && !shared(team(job)) && settledAt.getOrDefault(job.team(), 0L) > replica.revision();
     }
 
-    /** How many more tasks of the job fit under the team's limit. A job of an unknown team does not start. */
+    /** How many more tasks of the job this controller may start under the team's limit; none for an unknown team. */
     int room(Job job) {
         Settings.Team team = team(job);
         if (team == null) {
             return 0;
         }
-        double[] use = machines.use(job.team());
-        return (int) Math.min(tasks(team.cpusMax(), use[0], job.cpus()), tasks(team.gpusMax(), use[1], job.gpus()));
+        return limited(job) && shared(team) ? roomInShare(team, job) : machines.use(job.team()).room(team, job);
+    }
+
+    private int roomInShare(Settings.Team team, Job job) {
+        int n = replica.map().members().size();
+        double othersCpus = 0;
+        double othersGpus = 0;
+        for (Value.Member member : replica.map().members()) {
+            if (!member.name().equals(settings.node())) {
+                Use use = machines.use(job.team(), member.name());
+                othersCpus += Math.max(use.cpus(), team.cpusMax() / n);
+                othersGpus += Math.max(use.gpus(), team.gpusMax() / n);
+            }
+        }
+        return room(team, job, settings.node(), team.cpusMax() - othersCpus, team.gpusMax() - othersGpus);
     }
 
-    private static double tasks(double max, double used, double each) {
-        return max <= 0 || each <= 0 ? Integer.MAX_VALUE : Math.max(0, Math.floor((max - used) / each + 1e-9));
+    private int room(Settings.Team team, Job job, String node, double cpus, double gpus) {
+        Use use = machines.use(job.team(), node);
+        return Math.min(use.room(team.cpusMax(), cpus, true, job), use.room(team.gpusMax(), gpus, false, job));
+    }
+
+    /** How many tasks of the job a controller has room for in its share of the team's limit, where it has one. */
+    int room(Job job, String node) {
+        Settings.Team team = team(job);
+        int n = replica.map().members().size();
+        return !limited(job) || !shared(team) ? Integer.MAX_VALUE
+                : room(team, job, node, team.cpusMax() / n, team.gpusMax() / n);
+    }
+
+    /** True if the team as a whole has room for more, though perhaps not in this controller's share. */
+    boolean spare(Job job) {
+        return team(job) != null && room(job, machines.use(job.team())) > 0;
+    }
+
+    /** How many more fit if the team used so much in all. */
+    int room(Job job, Use use) {
+        Settings.Team team = team(job);
+        return team == null ? 0 : use.room(team, job);
     }
 
     /**
@@ -75,28 +127,22 @@
     /** True if the team uses more than its guarantee. */
     boolean borrows(Job job) {
         Settings.Team team = team(job);
-        double[] use = machines.use(job.team());
-        return team == null || use[0] > team.cpus() + 1e-9 || use[1] > team.gpus() + 1e-9;
-    }
-
-    void add(Job job) {
-        double[] use = machines.use(job.team());
-        use[0] += job.cpus();
-        use[1] += job.gpus();
+        Use use = machines.use(job.team());
+        return team == null || use.cpus() > team.cpus() + 1e-9 || use.gpus() > team.gpus() + 1e-9;
     }
 
     /** Makes a launch conditional on the count it was decided by. */
     void guard(Txn.Builder txn, Job job) {
-        if (team(job).limited()) {
-            double[] use = machines.use(job.team());
+        if (limited(job) && !shared(team(job))) {
+            Use use = machines.use(job.team());
             txn.when(Keys.team(job.team()), replica.teamVersion(job.team()));
-            txn.set(Keys.team(job.team()), new Value.TeamRecord(use[0], use[1]));
+            txn.set(Keys.team(job.team()), new Value.TeamRecord(use.cpus(), use.gpus()));
             settledAt.put(job.team(), Long.MAX_VALUE);
         }
     }
 
     void answered(Job job, long revision) {
-        if (team(job).limited()) {
+        if (limited(job)) {
             settledAt.put(job.team(), revision);
         }
     }
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -15,19 +15,35 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
+import java.util.function.Consumer;
 
 /**
  * What the state service held at {@link #revision()}. Only the watch changes it, in the order of the revisions, so
  * that whatever it shows is durable and nothing in it is newer than the revision.
  */
 public final class Replica {
+    /** What a change of the state service changed here; told after the change is in place. */
+    sealed interface Delta {
+        /** A slice has another value; null where it is new or gone. */
+        record SliceChanged(JobEntry job, SliceEntry slice, Slice before, Slice after) implements Delta { }
+
+        /** A job has another record; null where it is new or gone. */
+        record JobChanged(JobEntry job, JobRecord before, JobRecord after) implements Delta { }
+
+        /** The map is another; {@code complete} if no map between the two was missed. */
+        record MapChanged(ClusterMap before, ClusterMap after, boolean complete) implements Delta { }
+
+        /** A machine has another record; null if it has none now. */
+        record MachineChanged(String name, MachineRecord after) implements Delta { }
+    }
+
     /** A job that has a record or slices. */
     public static final class JobEntry {
         public final String id;
         private JobRecord record;
         private long version;
         private final TreeMap<Integer, SliceEntry> slices = new TreeMap<>();
+        private Job.Shape shape;
 
         JobEntry(String id) {
             this.id = id;
@@ -38,6 +54,11 @@
             return record == null ? null : record.job();
         }
 
+        /** The job's shape; only of a job that has a record. */
+        public Job.Shape shape() {
+            return shape;
+        }
+
         public boolean aborted() {
             return record != null && record.aborted();
         }
@@ -75,6 +96,11 @@
             return record != null && done() == record.job().tasks();
         }
 
+        /** A number that no slice of the job has had, since slices go only with their job. */
+        int nextSlice() {
+            return slices.isEmpty() ? 0 : slices.lastKey() + 1;
+        }
+
         /** The slice that holds a task, or null. */
         public SliceEntry sliceOf(int task) {
             for (SliceEntry s : slices.values()) {
@@ -116,23 +142,36 @@
     private final Object2LongOpenHashMap<String> teams = new Object2LongOpenHashMap<>();
     private final Cache<String, FinalRecord> finals =
             Caffeine.newBuilder().maximumSize(20_000).executor(Runnable::run).build();
+    private final Consumer<Delta> follower;
     private ClusterMap map;
     private long mapVersion;
     private long revision;
+    private boolean loading;
+
+    Replica(Consumer<Delta> follower) {
+        this.follower = follower;
+    }
 
     /** Begins anew from a listing. Changes after {@code listedAt} must follow, whether or not the rows have them. */
     void load(List<Input.Row> rows, long listedAt) {
+        for (JobEntry entry : List.copyOf(jobs.values())) {
+            for (SliceEntry slice : List.copyOf(entry.slices.values())) {
+                follower.accept(new Delta.SliceChanged(entry, slice, slice.value, null));
+            }
+            JobRecord before = entry.record;
+            entry.record = null;
+            follower.accept(new Delta.JobChanged(entry, before, null));
+        }
         jobs.clear();
         machines.clear();
         presences.clear();
         teams.clear();
-        map = null;
         mapVersion = 0;
-        List<Input.Row> ordered = rows.stream().sorted(Comparator.comparingLong(Input.Row::version))
-                .collect(Collectors.toList());
-        for (Input.Row row : ordered) {
-            apply(new Input.Change(row.key(), row.value(), row.version()));
-        }
+        loading = true;
+        rows.stream().sorted(Comparator.comparing((Input.Row row) -> !row.key().startsWith(Keys.JOBS))
+                .thenComparingLong(Input.Row::version))
+                .forEach(row -> apply(new Input.Change(row.key(), row.value(), row.version())));
+        loading = false;
         revision = listedAt;
     }
 
@@ -158,6 +197,7 @@
             } else {
                 machines.put(name, new MachineEntry((MachineRecord) change.value(), change.version()));
             }
+            follower.accept(new Delta.MachineChanged(name, (MachineRecord) change.value()));
         } else if (key.startsWith(Keys.PRESENCE)) {
             String name = key.substring(Keys.PRESENCE.length());
             if (change.value() == null) {
@@ -169,8 +209,10 @@
             String name = key.substring(Keys.TEAMS.length());
             teams.put(name, Math.max(teams.getLong(name), change.value() == null ? 0 : change.version()));
         } else if (key.equals(Keys.MAP) && change.value() != null && change.version() > mapVersion) {
+            ClusterMap before = map;
             map = (ClusterMap) change.value();
             mapVersion = change.version();
+            follower.accept(new Delta.MapChanged(before, map, !loading));
         }
     }
 
@@ -182,8 +224,11 @@
         JobEntry entry = jobs.get(id);
         if (change.value() == null) {
             if (entry != null && entry.version < change.version()) {
+                JobRecord before = entry.record;
                 entry.record = null;
                 entry.version = 0;
+                follower.accept(new Delta.JobChanged(entry, before, null));
+                entry.slices.values().removeIf(slice -> slice.version == 0);
                 dropIfEmpty(entry);
             }
             return;
@@ -193,8 +238,26 @@
             jobs.put(id, entry);
         }
         if (change.version() >= entry.version) {
+            JobRecord before = entry.record;
             entry.record = (JobRecord) change.value();
+            entry.shape = entry.record.job().shape();
             entry.version = change.version();
+            follower.accept(new Delta.JobChanged(entry, before, entry.record));
+            if (before == null) {
+                deal(entry);
+            }
+        }
+    }
+
+    /** A slice that has no key yet is as it was dealt, at version 0. */
+    private void deal(JobEntry entry) {
+        List<Value.Deal> deals = entry.record.deals();
+        for (int i = 0; i < deals.size(); i++) {
+            if (!entry.slices.containsKey(i)) {
+                SliceEntry slice = new SliceEntry(entry.id, i);
+                slice.value = deals.get(i).slice();
+                entry.slices.put(i, slice);
+            }
         }
     }
 
@@ -208,6 +271,7 @@
                 SliceEntry held = entry.slices.get(number);
                 if (held != null && held.version < change.version()) {
                     entry.slices.remove(number);
+                    follower.accept(new Delta.SliceChanged(entry, held, held.value, null));
                 }
                 dropIfEmpty(entry);
             }
@@ -219,8 +283,10 @@
         }
         SliceEntry held = entry.slices.computeIfAbsent(number, n -> new SliceEntry(id, n));
         if (change.version() >= held.version) {
+            Slice before = held.value;
             held.value = (Slice) change.value();
             held.version = change.version();
+            follower.accept(new Delta.SliceChanged(entry, held, before, held.value));
         }
     }
 
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -20,6 +20,11 @@
     /** An aim of the users for a class of jobs; {@code lot} is null if it is for all. */
     public record Objective(String kind, String lot, double withinS) { }
 
+    /** A machine not heard for so long takes no tasks. */
+    public long heardMs() {
+        return (long) (reportS * 1800);
+    }
+
     /** The shortest time that an aim of the kind gives jobs of the class, or infinity. */
     public double within(String kind, String lot) {
         double least = Double.POSITIVE_INFINITY;
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -5,9 +5,7 @@
 import dewlane.core.Replica.JobEntry;
 import dewlane.core.Value.FinalRecord;
 import dewlane.core.Value.JobRecord;
-import dewlane.core.Value.Slice;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
-import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -68,12 +66,8 @@
             return;
         }
         Job job = in.job().withAccepted(context.wall());
-        List<Slice> slices = dealer.deal(job);
         Txn.Builder txn = new Txn.Builder().when(Keys.job(job.id()), 0).when(Keys.fin(job.id()), 0)
-                .set(Keys.job(job.id()), new JobRecord(job, 0));
-        for (int i = 0; i < slices.size(); i++) {
-            txn.set(Keys.slice(job.id(), i), slices.get(i));
-        }
+                .set(Keys.job(job.id()), new JobRecord(job, dealer.deal(job), 0));
         journaller.submit(Journaller.Urgency.USER, txn.build(), (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 answer(in.id(), 201, new JobState(job.id(), Condition.PENDING, 0, 0), null);
@@ -120,14 +114,15 @@
             } else if (((JobRecord) read.value()).aborted()) {
                 answer(in.id(), 200, new JobState(in.job(), Condition.ABORTED, 0, 0), null);
             } else {
-                cancel(in, ((JobRecord) read.value()).job(), read.version());
+                cancel(in, (JobRecord) read.value(), read.version());
             }
         });
     }
 
-    private void cancel(Input.Abort in, Job job, long version) {
+    private void cancel(Input.Abort in, JobRecord record, long version) {
+        Job job = record.job();
         Txn txn = new Txn.Builder().when(Keys.job(job.id()), version)
-                .set(Keys.job(job.id()), new JobRecord(job, context.wall()))
+                .set(Keys.job(job.id()), new JobRecord(job, record.deals(), context.wall()))
                 .set(Keys.fin(job.id()), new FinalRecord(true, context.wall())).build();
         journaller.submit(Journaller.Urgency.SAFETY, txn, (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -7,13 +7,24 @@
 /** Everything dewlane keeps in the state service. Values are never changed in place. */
 public sealed interface Value {
 
-    /** A job that is not final, or is cancelled with tasks that may still be on machines. */
-    record JobRecord(Job job, long abortedMs) implements Value {
+    /**
+     * A job that is not final, or is cancelled with tasks that may still be on machines.
+     *
+     * @param deals how its tasks were dealt at acceptance; deal N holds until slice N has a key of its own
+     */
+    record JobRecord(Job job, List<Deal> deals, long abortedMs) implements Value {
         public boolean aborted() {
             return abortedMs > 0;
         }
     }
 
+    /** A run of a job's tasks and the controller they are dealt to. */
+    record Deal(String owner, int first, int count) {
+        Slice slice() {
+            return new Slice(owner, first, count, 0, new BitSet(), List.of());
+        }
+    }
+
     /** The final state of a job; never deleted. */
     record FinalRecord(boolean aborted, long atMs) implements Value { }
 
@@ -34,6 +45,20 @@
             return done.get(task - first);
         }
 
+        /** Tasks that are neither done nor may be on a machine. */
+        public int waiting() {
+            return count - done.cardinality() - attempts.size();
+        }
+
+        /** Tasks that are done or may be on a machine, as offsets from {@code first}. */
+        public BitSet taken() {
+            BitSet taken = (BitSet) done.clone();
+            for (Attempt a : attempts) {
+                taken.set(a.task() - first);
+            }
+            return taken;
+        }
+
         public Attempt attemptOf(int task) {
             for (Attempt a : attempts) {
                 if (a.task() == task) {
@@ -51,7 +76,17 @@
      */
     record ClusterMap(long epoch, List<Member> members, Map<String, String> moved) implements Value {
         public boolean has(String name) {
-            return members.stream().anyMatch(m -> m.name().equals(name));
+            return incarnation(name) != 0;
+        }
+
+        /** The epoch at which the controller joined, or 0 if it is not in the map. */
+        public long incarnation(String name) {
+            for (Member m : members) {
+                if (m.name().equals(name)) {
+                    return m.incarnation();
+                }
+            }
+            return 0;
         }
     }
 
--- a/src/main/java/dewlane/core/Work.java
+++ b/src/main/java/dewlane/core/Work.java
@@ -1,5 +1,6 @@
 package dewlane.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,8 +13,10 @@
     enum Outcome { DONE, STOPPED, ERROR, REFUSED, GONE }
 
     final Map<Machine.Key, Outcome> outcomes = new HashMap<>();
+    /** When the first of the outcomes came that are still to be made durable. */
+    long outcomesSince;
     /** Launches in the write under way, or in one that the replica does not show yet. */
-    List<Launch> launching = List.of();
+    final List<Launch> launching = new ArrayList<>();
     boolean writing;
     /** Nothing is decided before the replica has reached this revision. */
     long settled;
@@ -26,7 +29,7 @@
     long lookedAt;
 
     /** A launch that is not yet seen in the replica. */
-    record Launch(Machine machine, Attempt attempt, int slice) { }
+    record Launch(Machine machine, Attempt attempt, int slice, Job spec) { }
 
     /** A job that fails on several machines is itself at fault. */
     boolean faulty() {
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -79,7 +79,8 @@
                 .set(Options.THREAD_DAEMON, false)
                 .getMap());
         this.thread = worker.getIoThread();
-        this.state = new StateClient(thread, buffers, endpoints.state(), this::accept);
+        this.state = new StateClient(thread, buffers, endpoints.state(), settings.stateRps(),
+                settings.peers().size() + 1, this::accept);
         this.cloud = new CloudClient(thread, buffers, endpoints.cloud(), this::accept);
         endpoints.peers().forEach((name, address) -> peers.put(name, new HttpPool(thread, buffers, address, 1)));
     }
@@ -130,6 +131,7 @@
             return;
         }
         thread.executeAfter(this::summarise, SUMMARY_MS, TimeUnit.MILLISECONDS);
+        LOG.info("since the start: {}", controller.counts());
         if (userMs.getTotalCount() > 0) {
             LOG.info("answered {} user requests in the last minute: p50 {} ms, p99 {} ms, longest {} ms",
                     userMs.getTotalCount(), userMs.getValueAtPercentile(50), userMs.getValueAtPercentile(99), userMs.getMaxValue());
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -21,8 +21,10 @@
     private static final int PAGE = 200;
     private static final long CALL_MS = 1500;
     private static final long WATCH_MS = 3000;
-    /** Gathers changes that come close together into one answer of the watch. */
+    /** Gathers changes that come close together into one answer of the watch; at least so long. */
     private static final long WATCH_PAUSE_MS = 60;
+    /** The part of the requests that all controllers' watches together may take. */
+    private static final double WATCH_SHARE = 0.35;
     private static final long RETRY_MS = 300;
 
     private final XnioIoThread thread;
@@ -30,13 +32,16 @@
     private final HttpPool leases;
     private final HttpPool watches;
     private final Consumer<Input> core;
+    private final long watchPauseMs;
 
-    StateClient(XnioIoThread thread, ByteBufferPool buffers, String address, Consumer<Input> core) {
+    StateClient(XnioIoThread thread, ByteBufferPool buffers, String address, double rps, int controllers,
+                Consumer<Input> core) {
         this.thread = thread;
         this.calls = new HttpPool(thread, buffers, address, 12);
         this.leases = new HttpPool(thread, buffers, address, 2);
         this.watches = new HttpPool(thread, buffers, address, 2);
         this.core = core;
+        this.watchPauseMs = Math.max(WATCH_PAUSE_MS, Math.round(1000 * controllers / (rps * WATCH_SHARE)));
     }
 
     void list() {
@@ -66,7 +71,7 @@
     }
 
     void watch(long since) {
-        thread.executeAfter(() -> openWatch(since), WATCH_PAUSE_MS, TimeUnit.MILLISECONDS);
+        thread.executeAfter(() -> openWatch(since), watchPauseMs, TimeUnit.MILLISECONDS);
     }
 
     private void openWatch(long since) {
--- a/src/main/java/dewlane/wire/PeerWire.java
+++ b/src/main/java/dewlane/wire/PeerWire.java
@@ -21,7 +21,7 @@
             out.packArrayHeader(s.machines().size());
             for (PeerMachine m : s.machines()) {
                 out.packString(m.name()).packString(m.address()).packString(m.type()).packString(m.zone())
-                        .packBoolean(m.spot()).packLong(m.session());
+                        .packBoolean(m.spot()).packLong(m.session()).packLong(m.sequence());
             }
             return out.toByteArray();
         }
@@ -36,7 +36,7 @@
             List<PeerMachine> machines = new ArrayList<>();
             for (int i = 0; i < n; i++) {
                 machines.add(new PeerMachine(in.unpackString(), in.unpackString(), in.unpackString(),
-                        in.unpackString(), in.unpackBoolean(), in.unpackLong()));
+                        in.unpackString(), in.unpackBoolean(), in.unpackLong(), in.unpackLong()));
             }
             return new PeerStatus(node, epoch, reachable, machines);
         }
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -127,6 +128,13 @@
         out.writeStartObject();
         if (value instanceof Value.JobRecord v) {
             job(out, v.job());
+            out.writeArrayFieldStart("deals");
+            for (Value.Deal d : v.deals()) {
+                out.writeString(d.owner());
+                out.writeNumber(d.first());
+                out.writeNumber(d.count());
+            }
+            out.writeEndArray();
             if (v.aborted()) {
                 out.writeNumberField("aborted", v.abortedMs());
             }
@@ -188,26 +196,46 @@
         out.writeNumberField("accepted", j.acceptedMs());
     }
 
+    /**
+     * Attempts of one launch on one machine are one entry, and what a launch's entries share is written once: the value
+     * is written anew at each change and read by every controller.
+     */
     private static void slice(JsonGenerator out, Value.Slice s) throws IOException {
         out.writeStringField("owner", s.owner());
         out.writeNumberField("first", s.first());
         out.writeNumberField("count", s.count());
         out.writeNumberField("launches", s.launches());
         out.writeStringField("done", ranges(s.done()));
-        out.writeArrayFieldStart("attempts");
+        Map<Launch, Map<Place, BitSet>> launches = new LinkedHashMap<>();
         for (Attempt a : s.attempts()) {
+            launches.computeIfAbsent(new Launch(a.number(), a.launchedMs()), l -> new LinkedHashMap<>())
+                    .computeIfAbsent(new Place(a.machine(), a.session(), a.token()), p -> new BitSet())
+                    .set(a.task() - s.first());
+        }
+        out.writeArrayFieldStart("live");
+        for (Map.Entry<Launch, Map<Place, BitSet>> launch : launches.entrySet()) {
+            long token = launch.getValue().keySet().iterator().next().token();
             out.writeStartArray();
-            out.writeNumber(a.task());
-            out.writeNumber(a.number());
-            out.writeString(a.machine());
-            out.writeNumber(a.session());
-            out.writeNumber(a.token());
-            out.writeNumber(a.launchedMs());
+            out.writeNumber(launch.getKey().number());
+            out.writeNumber(launch.getKey().atMs());
+            out.writeNumber(token);
+            for (Map.Entry<Place, BitSet> place : launch.getValue().entrySet()) {
+                out.writeString(place.getKey().machine());
+                out.writeNumber(place.getKey().session());
+                out.writeNumber(place.getKey().token() - token);
+                out.writeString(ranges(place.getValue()));
+            }
             out.writeEndArray();
         }
         out.writeEndArray();
     }
 
+    /** What attempts of one launch share. */
+    private record Launch(int number, long atMs) { }
+
+    /** What attempts of one launch on one machine share. */
+    private record Place(String machine, long session, long token) { }
+
     /** Done marks as ranges, such as 0-4,7: tasks are launched in order, so there are few. */
     static String ranges(BitSet set) {
         StringBuilder text = new StringBuilder();
@@ -239,7 +267,7 @@
             if (key.startsWith(Keys.SLICES)) {
                 return slice(in);
             } else if (key.startsWith(Keys.JOBS)) {
-                return new Value.JobRecord(job(in), Json.whole(in, "aborted"));
+                return new Value.JobRecord(job(in), deals(Json.list(in, "deals")), Json.whole(in, "aborted"));
             } else if (key.startsWith(Keys.FINALS)) {
                 return new Value.FinalRecord(Json.flag(in, "aborted"), Json.whole(in, "at"));
             } else if (key.startsWith(Keys.MACHINES)) {
@@ -263,6 +291,14 @@
         throw new IOException("unknown key " + key);
     }
 
+    private static List<Value.Deal> deals(List<Object> in) {
+        List<Value.Deal> deals = new ArrayList<>();
+        for (int i = 0; i < in.size(); i += 3) {
+            deals.add(new Value.Deal((String) in.get(i), ((Number) in.get(i + 1)).intValue(), ((Number) in.get(i + 2)).intValue()));
+        }
+        return List.copyOf(deals);
+    }
+
     private static Job job(Map<String, Object> in) {
         return new Job(Json.string(in, "id"), Json.string(in, "lot"), Json.string(in, "team"),
                 Priority.valueOf(Json.string(in, "priority")), (int) Json.whole(in, "tasks"),
@@ -274,13 +310,22 @@
     }
 
     private static Value.Slice slice(Map<String, Object> in) {
+        int first = (int) Json.whole(in, "first");
         List<Attempt> attempts = new ArrayList<>();
-        for (Object o : Json.list(in, "attempts")) {
-            List<?> a = (List<?>) o;
-            attempts.add(new Attempt(((Number) a.get(0)).intValue(), ((Number) a.get(1)).intValue(), (String) a.get(2),
-                    ((Number) a.get(3)).longValue(), ((Number) a.get(4)).longValue(), ((Number) a.get(5)).longValue()));
+        for (Object o : Json.list(in, "live")) {
+            List<?> launch = (List<?>) o;
+            int number = ((Number) launch.get(0)).intValue();
+            long at = ((Number) launch.get(1)).longValue();
+            long token = ((Number) launch.get(2)).longValue();
+            for (int i = 3; i < launch.size(); i += 4) {
+                String machine = (String) launch.get(i);
+                long session = ((Number) launch.get(i + 1)).longValue();
+                long own = token + ((Number) launch.get(i + 2)).longValue();
+                BitSet tasks = ranges((String) launch.get(i + 3));
+                tasks.stream().forEach(t -> attempts.add(new Attempt(first + t, number, machine, session, own, at)));
+            }
         }
-        return new Value.Slice(Json.string(in, "owner"), (int) Json.whole(in, "first"), (int) Json.whole(in, "count"),
+        return new Value.Slice(Json.string(in, "owner"), first, (int) Json.whole(in, "count"),
                 (int) Json.whole(in, "launches"), ranges(Json.string(in, "done")), List.copyOf(attempts));
     }
 }
