--- a/src/main/java/dewlane/cli/DeployFile.java
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -62,6 +62,6 @@
         Tuning d = Tuning.defaults();
         return new Tuning((long) (1000 * in.number("member_ttl_s", 1, d.memberTtlMs() / 1000.0)),
                 in.number("silent_s", 5, d.silentS()), in.number("idle_s", 1, d.idleS()),
-                in.number("boot_patience", 1, d.bootPatience()));
+                in.number("boot_patience", 1, d.bootPatience()), d.sharedCpus());
     }
 }
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -68,6 +68,11 @@
         return counters.text();
     }
 
+    /** How many jobs a pass looked at on average. */
+    public double jobsPerPass() {
+        return counters.passes == 0 ? 0 : (double) counters.jobsLookedAt / counters.passes;
+    }
+
     /** True once this controller can decide about jobs. */
     public boolean ready() {
         return loaded && membership.joined() && !machines.types().isEmpty();
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -20,10 +20,6 @@
  * its share when a controller leaves; it then starts nothing, and the others keep that much of theirs free.
  */
 final class Quota {
-    /** From such a share of a limit on it is not lent launch by launch. */
-    private static final double SHARE_CPUS = 256;
-    private static final double SHARE_GPUS = 64;
-
     private final Settings settings;
     private final Replica replica;
     private final Machines machines;
@@ -47,7 +43,8 @@
     /** True if the limit is so large that a share of it does not hold work up. */
     private boolean shared(Settings.Team team) {
         int n = replica.map() == null ? 1 : replica.map().members().size();
-        return (team.cpusMax() <= 0 || team.cpusMax() / n >= SHARE_CPUS) && (team.gpusMax() <= 0 || team.gpusMax() / n >= SHARE_GPUS);
+        double least = settings.tuning().sharedCpus();
+        return (team.cpusMax() <= 0 || team.cpusMax() / n >= least) && (team.gpusMax() <= 0 || team.gpusMax() / n >= least / 4);
     }
 
     boolean busy(Job job) {
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -43,10 +43,12 @@
      * @param silentS silence after which a machine is deleted
      * @param idleS how long a machine must be idle before it is returned
      * @param bootPatience multiple of the boot time after which a machine that never came up is deleted
+     * @param sharedCpus a team's limit of so many CPUs a controller, or a quarter as many GPUs, is divided among them;
+     *     all controllers must agree on it, so operators' files do not set it
      */
-    public record Tuning(long memberTtlMs, double silentS, double idleS, double bootPatience) {
+    public record Tuning(long memberTtlMs, double silentS, double idleS, double bootPatience, double sharedCpus) {
         public static Tuning defaults() {
-            return new Tuning(3000, 12, 60, 4);
+            return new Tuning(3000, 12, 60, 4, 256);
         }
     }
 }
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -124,7 +124,12 @@
         });
     }
 
-    static void encode(JsonGenerator out, Value value) throws IOException {
+    /** A value as it is kept. */
+    public static byte[] value(Value value) {
+        return Json.write(out -> encode(out, value));
+    }
+
+    private static void encode(JsonGenerator out, Value value) throws IOException {
         out.writeStartObject();
         if (value instanceof Value.JobRecord v) {
             job(out, v.job());
--- a/src/test/java/dewlane/sim/Checker.java
+++ b/src/test/java/dewlane/sim/Checker.java
@@ -112,6 +112,9 @@
 
     /** Checked after every step of the world. */
     void check() {
+        if (!finals.containsValue(Condition.ABORTED)) {
+            return;
+        }
         for (SimWorker m : world.cloud.machines.values()) {
             for (SimWorker.Task t : m.tasks.values()) {
                 if (t.on() && finals.get(t.job) == Condition.ABORTED
