--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -174,6 +174,7 @@
         boolean sure = answer || (m.doubtSince != 0 ? r.token() >= m.challenge : !missed && m.heardWithin(now, context.settings().heardMs()));
         if (sure) {
             m.confirm(now);
+            m.returned &= replica.machines().containsKey(m.name);
             notice(m, r);
         } else if (m.doubtSince == 0) {
             counters.doubts++;
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -27,6 +27,8 @@
     private static final long SCARCE_MS = 20_000;
     private static final int MOST_RETURNS = 4;
     private static final long KEEP_GONE_MS = 60_000;
+    /** So long the cloud's list may still show a machine that was returned. */
+    private static final long KEEP_RETURNED_MS = 30_000;
     /** A machine rented for a task is there for about so long; shorter tasks share its room one after the other. */
     private static final double SLOT_S = 80;
     /** Work of the lowest priority has ordinary machines rented for it only after such a wait. */
@@ -174,7 +176,11 @@
             boolean idle = m == null || m.live.isEmpty();
             switch (e.getValue().record().fate()) {
                 case RETURN -> {
-                    if (idle) {
+                    if (goneAt.containsKey(name)) {
+                        if (context.now() - goneAt.get(name) > KEEP_RETURNED_MS) {
+                            drop(name, e.getValue().version());
+                        }
+                    } else if (idle) {
                         delete.add(name);
                     } else if (!deletingAt.containsKey(name)) {
                         context.debug("machine " + name + " got a task after all, not returned");
@@ -207,7 +213,13 @@
             if (in.gone()) {
                 listed.remove(name);
                 booting.remove(name);
-                record(name, MachineFate.GONE, "deleted");
+                Replica.MachineEntry entry = replica.machines().get(name);
+                if (entry != null && entry.record().fate() == MachineFate.RETURN) {
+                    // Nothing was on it, so nobody waits for a proof; one change less for each machine.
+                    goneAt.putIfAbsent(name, context.now());
+                } else {
+                    record(name, MachineFate.GONE, "deleted");
+                }
             }
         }
     }
@@ -294,13 +306,14 @@
             Use team = more.computeIfAbsent(spec.team(), t -> new Use(machines.use(t)));
             int allowed = Math.min(waiting(job), quota.room(spec, team));
             team.add(spec, Math.max(0, allowed));
-            int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
+            // Short tasks share a slot one after the other while a machine is there.
+            double slots = allowed * Math.min(1, Math.max(0.1, spec.estimateS() / SLOT_S));
+            int needed = (int) Math.ceil(slots);
+            int left = full.contains(job.shape()) ? needed : fill(bins, job, needed);
             if (left > 0) {
                 full.add(job.shape());
-                // Short tasks share a slot one after the other while a machine is there. Where no machine would ever
-                // do, the smallest demand still needs one, or the job would wait for ever.
-                double slots = left * Math.min(1, Math.max(0.1, spec.estimateS() / SLOT_S));
-                unmet.put(job, hosted(spec, job.shape()) ? slots : Math.max(slots, mostOnOne(spec)));
+                // Where no machine would ever do, the smallest demand still needs one, or the job would wait for ever.
+                unmet.put(job, hosted(spec, job.shape()) ? Math.min(left, slots) : Math.max(slots, mostOnOne(spec)));
             }
         }
         return unmet;
@@ -426,6 +439,10 @@
                 idle.add(m);
             }
         }
+        // While changes are short they are better spent on work than on returning machines.
+        if (journaller.scarce()) {
+            return;
+        }
         idle.sort(Comparator.comparingDouble(this::price).reversed());
         for (Machine m : idle.subList(0, Math.min(MOST_RETURNS, idle.size()))) {
             context.info("returning idle machine " + m.name);
@@ -445,7 +462,8 @@
         }
         Txn txn = new Txn.Builder().when(Keys.machine(name), known == null ? 0 : known.version())
                 .set(Keys.machine(name), new MachineRecord(fate, reason)).build();
-        journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> {
+        Journaller.Urgency urgency = fate == MachineFate.RETURN ? Journaller.Urgency.LATER : Journaller.Urgency.OUTCOME;
+        journaller.submit(urgency, txn, (status, revision) -> {
             writing.remove(name);
             if (status == Txn.Status.CONFLICT && fate == MachineFate.GONE) {
                 deletingAt.remove(name);
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -14,6 +14,7 @@
     private final Journaller journaller;
     private final Set<String> asking = new HashSet<>();
     private long incarnation;
+    private long mostSilentAt = Long.MIN_VALUE / 2;
 
     Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller) {
         this.context = context;
@@ -37,21 +38,26 @@
         long patience = (long) (context.settings().tuning().silentS() * 1000);
         for (Machine m : machines.own()) {
             if (known(m)) {
-                if (silentFor(m) > patience) {
+                // Those in doubt or just fallen silent count too: they do not all begin at the same moment.
+                if (m.doubtSince != 0 || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
                     silent++;
                 } else {
                     heard++;
                 }
             }
         }
+        if (silent > heard) {
+            mostSilentAt = context.now();
+        }
+        // Where most are silent, or just were, it is more likely that this controller cannot hear or is not heard.
+        boolean trusts = context.now() - mostSilentAt > context.settings().heardMs();
         for (Machine m : machines.own()) {
             if (replica.machines().containsKey(m.name) || asking.contains(m.name)) {
                 continue;
             }
             if (!m.failedJobs.isEmpty() && machines.faulty(m)) {
                 condemn(m, "faulty");
-            } else if (known(m) && silentFor(m) > patience && (silent <= heard || silentFor(m) > 3 * patience)) {
-                // Where most are silent, it is more likely this controller that cannot hear or is not heard.
+            } else if (known(m) && silentFor(m) > patience && (trusts || silentFor(m) > 3 * patience)) {
                 condemn(m, m.sequence > 0 && m.doubtSince != 0 ? "out of reach" : "silent");
             } else if (silentFor(m) > patience && m.live.values().stream().anyMatch(this::cancelledLong)) {
                 // A hanging machine keeps a cancelled task; only its deletion ends that in time.
@@ -60,9 +66,9 @@
         }
     }
 
-    /** Not one of which there is only a report: that may be a late copy from a machine that is long gone. */
+    /** Not one returned, nor one of which there is only a report: that may be a late copy from a machine long gone. */
     private static boolean known(Machine m) {
-        return m.heardAt != 0 || !m.live.isEmpty();
+        return m.heardAt != 0 && !m.returned || !m.live.isEmpty();
     }
 
     private boolean cancelledLong(Machine.Live l) {
--- a/src/main/java/dewlane/core/Journaller.java
+++ b/src/main/java/dewlane/core/Journaller.java
@@ -16,7 +16,7 @@
  */
 public final class Journaller {
     /** How urgent a write is, most urgent first. */
-    public enum Urgency { MEMBERSHIP, SAFETY, OUTCOME, USER, LAUNCH, LATER }
+    public enum Urgency { MEMBERSHIP, SAFETY, USER, OUTCOME, LAUNCH, LATER }
 
     /** Told the definite answer. */
     public interface Listener {
@@ -53,6 +53,8 @@
             Comparator.<Entry, Urgency>comparing(e -> e.urgency).thenComparingLong(e -> e.id));
     private final Long2ObjectLinkedOpenHashMap<Entry> inFlight = new Long2ObjectLinkedOpenHashMap<>();
     private long nextId = 1;
+    /** Entries of the queue by urgency. */
+    private final int[] waiting = new int[Urgency.values().length];
     private double tokens;
     private long refilledAt = Long.MIN_VALUE;
     private int share = 1;
@@ -69,7 +71,7 @@
     }
 
     void submit(Urgency urgency, Txn txn, Listener listener) {
-        queue.add(new Entry(nextId++, urgency, txn, listener));
+        enqueue(new Entry(nextId++, urgency, txn, listener));
         pump();
     }
 
@@ -79,7 +81,25 @@
      */
     boolean open(Urgency urgency) {
         refill();
-        return queue.size() < MOST_WAITING && tokens >= (urgency.compareTo(Urgency.USER) > 0 ? capacity() * RESERVE : 1);
+        int before = 0;
+        for (int i = 0; i <= urgency.ordinal(); i++) {
+            before += waiting[i];
+        }
+        return before < MOST_WAITING && tokens >= Math.max(1, capacity() * reserve(urgency));
+    }
+
+    private void enqueue(Entry entry) {
+        queue.add(entry);
+        waiting[entry.urgency.ordinal()]++;
+    }
+
+    /** The part of the burst that is left to more urgent writes. */
+    private static double reserve(Urgency urgency) {
+        return switch (urgency) {
+            case LAUNCH -> RESERVE;
+            case LATER -> 2 * RESERVE;
+            default -> 0;
+        };
     }
 
     /** True if changes are short, so that it pays to say more with each. */
@@ -106,7 +126,7 @@
                 entry.tries++;
                 entry.notBefore = context.now() + Math.min(1000, 50L << Math.min(entry.tries, 5))
                         + context.random().nextInt(50);
-                queue.add(entry);
+                enqueue(entry);
             }
         }
         pump();
@@ -114,18 +134,17 @@
 
     void pump() {
         refill();
-        List<Entry> waiting = new ArrayList<>();
+        List<Entry> later = new ArrayList<>();
         while (!queue.isEmpty() && inFlight.size() < MAX_IN_FLIGHT) {
             Entry entry = queue.poll();
+            waiting[entry.urgency.ordinal()]--;
             int cost = Math.max(1, entry.txn.apply().size());
             if (entry.notBefore > context.now()) {
-                waiting.add(entry);
+                later.add(entry);
                 continue;
             }
-            boolean reserved = entry.urgency.compareTo(Urgency.USER) > 0;
-            if (tokens < (reserved ? Math.min(cost + capacity() * RESERVE, capacity()) : Math.min(cost, capacity()))
-                    && entry.urgency != Urgency.MEMBERSHIP) {
-                waiting.add(entry);
+            if (tokens < Math.min(cost + capacity() * reserve(entry.urgency), capacity()) && entry.urgency != Urgency.MEMBERSHIP) {
+                later.add(entry);
                 break;
             }
             tokens -= cost;
@@ -134,7 +153,7 @@
             inFlight.put(entry.id, entry);
             context.emit(new Effect.SendTxn(entry.id, entry.txn));
         }
-        queue.addAll(waiting);
+        later.forEach(this::enqueue);
     }
 
     /** An equal share, and more as long as the state service refuses none: others may need less than theirs. */
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -62,6 +62,8 @@
     long strayedAt;
     long strayedSession;
     long strayedSequence;
+    /** It was to be returned when it was last heard of: if it is silent, it is gone as it should be. */
+    boolean returned;
     /** When the cloud takes the machine away; 0: not announced. */
     long takenAt;
     Map<Key, Report.TaskState> reported = Map.of();
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -134,12 +134,20 @@
             job(d);
         } else if (delta instanceof Delta.MapChanged d) {
             map(d);
-        } else if (delta instanceof Delta.MachineChanged d && d.after() != null && d.after().fate() == Value.MachineFate.GONE) {
-            gone.add(d.name());
-            Machine m = byName.get(d.name());
+        } else if (delta instanceof Delta.MachineChanged d && d.after() != null) {
+            fate(d.name(), d.after().fate());
+        }
+    }
+
+    private void fate(String name, Value.MachineFate fate) {
+        Machine m = byName.get(name);
+        if (fate == Value.MachineFate.GONE) {
+            gone.add(name);
             if (m != null) {
                 dropIfGone(m);
             }
+        } else if (fate == Value.MachineFate.RETURN && m != null) {
+            m.returned = true;
         }
     }
 
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -36,10 +36,13 @@
     private static final int ATTEMPT_BYTES = 50;
     /** Conditions of a launch other than those on its machines: job, map, team and slices. */
     private static final int OTHER_GUARDS = 8;
-    /** How long outcomes may gather while the rate of changes is short. */
-    private static final long GATHER_MS = 3000;
+    /** How long outcomes gather, and how long while the rate of changes is short. */
+    private static final long GATHER_MS = 500;
+    private static final long GATHER_SCARCE_MS = 3000;
     /** Seconds of fetching that are worth leaving a machine to tasks that have fewer types to choose from. */
     private static final double RIVAL_S = 8;
+    /** Seconds of fetching that are worth leaving an ordinary machine idle, so that it can be returned. */
+    private static final double ORDINARY_S = 1.5;
 
     private record Candidate(Machine machine, double cost) { }
 
@@ -219,7 +222,7 @@
             if (!job.aborted() && launches && context.now() >= work.notBefore && journaller.open(Journaller.Urgency.LAUNCH)) {
                 decided = launch(job, work, next, txn, launched, room);
             }
-            if (decided || !mayGather(work, next)) {
+            if (decided || !mayGather(job.job(), work, next)) {
                 next.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
             }
         }
@@ -228,13 +231,15 @@
         }
     }
 
-    /** More will soon be to be said, and changes are short: outcomes of tasks whose slice has others running can wait. */
-    private boolean mayGather(Work work, Map<SliceEntry, Slice> next) {
-        if (!journaller.scarce() || context.now() - work.outcomesSince > GATHER_MS
-                || work.outcomes.values().stream().anyMatch(o -> o != Outcome.DONE)) {
-            return false;
-        }
-        return next.values().stream().anyMatch(s -> !s.attempts().isEmpty());
+    /**
+     * Outcomes of tasks whose slice has others running can wait for more, as each change is read by every controller:
+     * the room of what ended is free already. Not so under a limit that is lent by what is durable.
+     */
+    private boolean mayGather(Job spec, Work work, Map<SliceEntry, Slice> next) {
+        long most = journaller.scarce() ? GATHER_SCARCE_MS : quota.lends(spec) ? 0 : GATHER_MS;
+        return context.now() - work.outcomesSince < most
+                && work.outcomes.values().stream().allMatch(o -> o == Outcome.DONE)
+                && next.values().stream().anyMatch(s -> !s.attempts().isEmpty());
     }
 
     /** Removes what is held of a job that is over; its final state stays. */
@@ -433,7 +438,7 @@
             }
             double[] of = byType.computeIfAbsent(m.type, t -> new double[] {
                     spec.imageGb() / type.fetchGbPerS(), machines.rivals(job.shape(), type) * RIVAL_S});
-            found.add(new Candidate(m, (m.hasImage(spec.image()) ? 0 : of[0]) + of[1]
+            found.add(new Candidate(m, (m.spot ? 0 : ORDINARY_S) + (m.hasImage(spec.image()) ? 0 : of[0]) + of[1]
                     + 2 * (type.cpus() - m.use.cpus() - spec.cpus()) / type.cpus()));
         }
         found.sort(Comparator.comparingDouble(Candidate::cost));
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -47,8 +47,13 @@
         return (team.cpusMax() <= 0 || team.cpusMax() / n >= least) && (team.gpusMax() <= 0 || team.gpusMax() / n >= least / 4);
     }
 
+    /** True if the team's limit is lent launch by launch. */
+    boolean lends(Job job) {
+        return limited(job) && !shared(team(job));
+    }
+
     boolean busy(Job job) {
-        return limited(job) && !shared(team(job)) && settledAt.getOrDefault(job.team(), 0L) > replica.revision();
+        return lends(job) && settledAt.getOrDefault(job.team(), 0L) > replica.revision();
     }
 
     /** How many more tasks of the job this controller may start under the team's limit; none for an unknown team. */
@@ -130,7 +135,7 @@
 
     /** Makes a launch conditional on the count it was decided by. */
     void guard(Txn.Builder txn, Job job) {
-        if (limited(job) && !shared(team(job))) {
+        if (lends(job)) {
             Use use = machines.use(job.team());
             txn.when(Keys.team(job.team()), replica.teamVersion(job.team()));
             txn.set(Keys.team(job.team()), new Value.TeamRecord(use.cpus(), use.gpus()));
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -1,6 +1,7 @@
 package dewlane.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import dewlane.core.Keys;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
+import dewlane.core.Value;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -115,4 +117,134 @@
         assertNotNull(world.state.get(Keys.fin("wk-000001")));
         assertEquals(Map.of(), world.state.all(Keys.SLICES));
     }
+
+    private static void submitOn(World world, int tasks, double estimateS) {
+        world.users.submit(job(tasks, 2, List.of(), true, estimateS));
+    }
+
+    /** A trouble the users named: reports arrive, answers and commands do not. Being heard is not being reachable. */
+    @Test
+    void aMachineThatIsHeardButDoesNotHearLosesItsTasksToOthers() {
+        World world = quietWorld(6);
+        SimWorker deaf = world.cloud.machines.values().iterator().next();
+        submitOn(world, 12, 40);
+        world.run(16_000);
+        assertEquals(2, deaf.running());
+        deaf.deaf = true;
+        world.run(30_000);
+        world.users.submit(new Job("wk-000002", "lot", "blue", Priority.HIGH, 12, 1, 0, 1, "image", 1, List.of(), null,
+                false, false, true, 5, 0, 0, 0, 0));
+        world.run(60_000);
+        assertFalse(world.lately("wk-000002/").contains("on " + deaf.name), "nothing more is launched there");
+        world.run(150_000);
+        assertNotNull(world.state.get(Keys.fin("wk-000001")));
+        assertNotNull(world.state.get(Keys.fin("wk-000002")));
+        assertTrue(deaf.gone, "it was deleted as one out of reach");
+    }
+
+    @Test
+    void aCancelledTaskOnAMachineThatDoesNotHearEndsInTime() {
+        World world = quietWorld(6);
+        submitOn(world, 12, 200);
+        world.run(16_000);
+        SimWorker deaf = world.cloud.machines.values().iterator().next();
+        assertTrue(deaf.running() > 0);
+        deaf.deaf = true;
+        world.run(17_000);
+        world.users.cancel("wk-000001");
+        world.run(100_000);
+        assertEquals(Map.of(), world.state.all(Keys.SLICES));
+    }
+
+    @Test
+    void machinesThatAllStopHearingForAMomentAreNotDeletedAndServeAgain() {
+        World world = quietWorld(6);
+        submitOn(world, 12, 60);
+        world.run(16_000);
+        world.cloud.machines.values().forEach(m -> m.deaf = true);
+        world.run(36_000);
+        world.cloud.machines.values().forEach(m -> m.deaf = false);
+        world.run(150_000);
+        assertEquals(6, world.cloud.machines.size(), "none was deleted");
+        assertEquals(12, world.checker.starts, "and every task ran to its end where it was");
+        assertNotNull(world.state.get(Keys.fin("wk-000001")));
+    }
+
+    /** A trouble the users named: copies of reports come late, to whichever controller. */
+    @Test
+    void aLateCopyBringsNoMachineBackAndMovesNone() {
+        World world = quietWorld(6);
+        SimWorker machine = world.cloud.machines.values().iterator().next();
+        List<dewlane.core.Report> copies = List.of(machine.report(), machine.report(), machine.report());
+        world.cloud.machines.remove(machine.name);
+        machine.vanish();
+        world.run(50_000);
+        world.nodes.values().forEach(n -> n.crash(300));
+        world.run(60_000);
+        Value.ClusterMap map = (Value.ClusterMap) world.state.get(Keys.MAP);
+        Map<String, Value> records = world.state.all(Keys.MACHINES);
+        for (int i = 0; i < copies.size(); i++) {
+            for (SimNode node : world.nodes.values()) {
+                machine.copyLate(copies.get(i), node, 1 + 4000L * i);
+            }
+        }
+        submitOn(world, 14, 5);
+        world.run(140_000);
+        assertEquals(map, world.state.get(Keys.MAP), "no machine was moved");
+        assertEquals(Map.of(), world.state.all(Keys.MACHINES).entrySet().stream().filter(e -> !records.containsKey(e.getKey()))
+                .collect(java.util.stream.Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)), "none was condemned");
+        assertFalse(world.lately("wk-000001/").contains("on " + machine.name));
+        assertEquals(14, world.checker.starts, "nothing was launched on what is gone");
+    }
+
+    /** A trouble the users named: a controller loses the state service and the other controllers, not its workers. */
+    @Test
+    void aControllerThatOnlyItsWorkersReachHandsThemOverAndCondemnsNothing() {
+        World world = quietWorld(9);
+        submitOn(world, 18, 60);
+        world.run(25_000);
+        SimNode node = world.nodes.get("n1");
+        node.cutFromState = true;
+        node.cutFromPeers = true;
+        world.run(45_000);
+        world.users.submit(new Job("wk-000002", "lot", "blue", Priority.HIGH, 18, 1, 0, 1, "image", 1, List.of(), null,
+                false, false, true, 5, 0, 0, 0, 0));
+        world.run(120_000);
+        assertNotNull(world.state.get(Keys.fin("wk-000002")), "its machines serve others");
+        node.cutFromState = false;
+        node.cutFromPeers = false;
+        world.run(160_000);
+        assertEquals(36, world.checker.starts, "no task was lost");
+        assertEquals(Map.of(), world.state.all(Keys.MACHINES));
+    }
+
+    @Test
+    void controllersThatAreBackAtOnceLoseNoTask() {
+        World world = quietWorld(9);
+        submitOn(world, 18, 60);
+        world.run(25_000);
+        world.nodes.values().forEach(n -> n.crash(200));
+        world.run(25_900);
+        world.nodes.values().forEach(n -> n.crash(150));
+        world.run(27_000);
+        world.nodes.get("n2").crash(100);
+        world.run(200_000);
+        assertEquals(18, world.checker.starts);
+        assertEquals(9, world.cloud.machines.size());
+        assertNotNull(world.state.get(Keys.fin("wk-000001")));
+    }
+
+    /** A map that changes elsewhere fences off no launch: at scale each crash undid every launch under way. */
+    @Test
+    void tokensOfMachinesThatDoNotChangeHandsStay() {
+        World world = quietWorld(9);
+        submitOn(world, 18, 30);
+        world.run(10_150);
+        world.nodes.get("n2").crash(20_000);
+        world.run(200_000);
+        Value.ClusterMap map = (Value.ClusterMap) world.state.get(Keys.MAP);
+        assertTrue(map.epoch() >= 5, "n2 left and came back");
+        assertTrue(world.cloud.machines.values().stream().anyMatch(m -> m.seal() >> 20 < map.epoch() - 1), "some kept their token");
+        assertNotNull(world.state.get(Keys.fin("wk-000001")));
+    }
 }
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -70,6 +70,11 @@
         this.rentedAt = world.now();
     }
 
+    /** The highest token it has seen. */
+    long seal() {
+        return seal;
+    }
+
     /** Tasks that count as being on the machine. */
     long running() {
         return tasks.values().stream().filter(Task::on).count();
