A crash no longer sets off a storm of maps; users' writes are not held up by the bucket

Only a live owner's workers are claimed now, 10 s after the machine last changed hands, and gathered for 2 s.

--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -23,6 +23,8 @@
     private static final int MOST_ORDERS = 400;
     /** A worker that cannot reach its owner comes round again within this time. */
     private static final long STRAY_MS = 30_000;
+    private static final long OWNER_HEARD_MS = 2500;
+    private static final long SETTLE_MS = 10_000;
     /** How often a machine in doubt is asked for a sign that it hears. */
     private static final long PROBE_MS = 2000;
     private static final long RESEND_MS = 2000;
@@ -101,6 +103,12 @@
         if (membership.silence() > 2000 || m.address == null || !r.newerThan(m.session, m.sequence)) {
             return false;
         }
+        // Workers of one that died wander until the map says who has them, and those of one that has just come have yet
+        // to get there. Each take-over is a new map, which undoes every launch under way.
+        if (!machines.heard(m.owner, OWNER_HEARD_MS) || context.now() - m.ownerSince < SETTLE_MS) {
+            m.strayedAt = 0;
+            return false;
+        }
         long strayed = context.now() - m.strayedAt;
         boolean newer = r.newerThan(m.strayedSession, m.strayedSequence);
         if (m.strayedAt == 0 || strayed > STRAY_MS) {
@@ -109,8 +117,7 @@
             m.strayedSequence = r.sequence();
             return false;
         }
-        boolean dropped = !machines.listedByOwner(m) && machines.peer(m.owner) != null;
-        return newer && strayed > (dropped ? 500 : 3500);
+        return newer && strayed > (machines.listedByOwner(m) ? 3500 : 500);
     }
 
     private long trustMs() {
--- a/src/main/java/dewlane/core/Journaller.java
+++ b/src/main/java/dewlane/core/Journaller.java
@@ -7,7 +7,8 @@
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap;
 
 /**
- * Sends conditional writes, the most urgent first, under a token bucket below the state service's write rate.
+ * Sends conditional writes, the most urgent first, under a token bucket below the state service's write rate. What
+ * users wait for, and the map, is few and not held up by the bucket; the rest then waits longer.
  *
  * <p>A transaction that got no answer may have been applied or may yet be. It is sent again under the same conditions
  * until the answer is definite; the state service applies it at most once, because it changes a key it is
@@ -122,10 +123,13 @@
                 if (answer.status() == Txn.Status.REFUSED) {
                     counters.refused++;
                     boost = Math.max(1, boost / 2);
+                    tokens = Math.min(tokens, 0);
                 }
                 entry.tries++;
-                entry.notBefore = context.now() + Math.min(1000, 50L << Math.min(entry.tries, 5))
-                        + context.random().nextInt(50);
+                // What users wait for is tried again at once; the rest stays off until there is something to have.
+                long pause = entry.urgency.compareTo(Urgency.USER) > 0 ? 100 : 15;
+                entry.notBefore = context.now() + Math.min(1000, pause << Math.min(entry.tries, 5))
+                        + context.random().nextInt((int) pause);
                 enqueue(entry);
             }
         }
@@ -143,7 +147,8 @@
                 later.add(entry);
                 continue;
             }
-            if (tokens < Math.min(cost + capacity() * reserve(entry.urgency), capacity()) && entry.urgency != Urgency.MEMBERSHIP) {
+            if (entry.urgency.compareTo(Urgency.USER) > 0
+                    && tokens < Math.min(cost + capacity() * reserve(entry.urgency), capacity())) {
                 later.add(entry);
                 break;
             }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -37,6 +37,8 @@
     final String name;
     /** The controller whose part the machine belongs to under the present map. */
     String owner;
+    /** Since when that is so. */
+    long ownerSince;
     /** When this controller first had to do with the machine under the present owner. */
     long since;
     String address;
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -334,6 +334,9 @@
         ClusterMap map = replica.map();
         String before = m.owner;
         m.owner = Parts.owner(map, m.name);
+        if (anew || m.owner == null || !m.owner.equals(before)) {
+            m.ownerSince = context.now();
+        }
         if (!self.equals(m.owner)) {
             own.remove(m);
             changed.remove(m);
@@ -397,6 +400,12 @@
         return peers.keySet().stream().anyMatch(node -> peer(node) != null && peer(node).stateReachable());
     }
 
+    /** True if the controller said something within the given time. */
+    boolean heard(String node, long ms) {
+        Long at = peersHeardAt.get(node);
+        return at != null && context.now() - at <= ms;
+    }
+
     /** True if there are other controllers and none of them was heard within the given time. */
     boolean alone(long ms) {
         return !context.settings().peers().isEmpty()
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -23,6 +23,8 @@
     private static final int MOST_MOVED = 200;
 
     private static final long ISOLATED_MS = 2000;
+    /** Take-overs that come close together share a map. */
+    private static final long CLAIM_MS = 2000;
 
     private final Context context;
     private final Replica replica;
@@ -41,6 +43,7 @@
     private long joinedAs;
     private long contactAt;
     private long newerSince;
+    private long claimedAt = Long.MIN_VALUE / 2;
 
     Membership(Context context, Replica replica, Machines machines, Journaller journaller) {
         this.context = context;
@@ -191,7 +194,8 @@
     private void takeOver() {
         ClusterMap map = replica.map();
         claims.removeIf(m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
-        if (!claims.isEmpty()) {
+        if (!claims.isEmpty() && context.now() - claimedAt > CLAIM_MS) {
+            claimedAt = context.now();
             context.info("taking over machines that cannot reach their controller: " + claims);
             Map<String, String> claimed = new HashMap<>();
             claims.stream().limit(MOST_MOVED).forEach(m -> claimed.put(m, self));
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -389,8 +389,8 @@
     }
 
     /**
-     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine, or else as many of its
-     * last tasks as wait there and find room, as a slice of their own. What is on a machine never changes hands this
+     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine and all of it finds room,
+     * or else as many of its last tasks as wait there and find room, as a slice of their own. What is on a machine never changes hands this
      * way, as it counts against the share of its team's limit that this controller has.
      */
     private boolean handOver(JobEntry job, Work work, SliceEntry slice, Slice value, Map<SliceEntry, Slice> next, Txn.Builder txn) {
@@ -405,7 +405,8 @@
         }
         int tail = value.count() - value.taken().length();
         int moved = spec.placesLinked() ? value.count() : Math.min(tail, to.room());
-        if (moved == value.count() && value.attempts().isEmpty()) {
+        // Tasks that wait before others that are done can only go with the whole slice, or they would wait here for ever.
+        if (value.attempts().isEmpty() && (moved == value.count() || tail == 0)) {
             next.put(slice, new Slice(to.node(), value.first(), value.count(), value.launches(), value.done(), value.attempts()));
         } else if (moved > 0 && moved < value.count()) {
             int first = value.first() + value.count() - moved;
@@ -418,7 +419,7 @@
         }
         work.handedAt = context.now();
         counters.handed++;
-        context.debug("handing " + moved + " tasks of " + slice.key + " to " + to.node());
+        context.debug("handing tasks of " + slice.key + " to " + to.node());
         return true;
     }
 
