--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -107,8 +107,9 @@
      * not change hands: a map that changes elsewhere fences off no launch of this part.
      */
     void acquire(long epoch, long now) {
+        // The same map may be read anew: its tokens up to the present fence have been used.
+        fence = epoch == tokenEpoch ? fence + 1 : 0;
         tokenEpoch = epoch;
-        fence = 0;
         unsure = false;
         since = now;
         heardAt = 0;
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -183,4 +183,18 @@
         hear(10, new Input.ValueRead(read.id(), true, new JobRecord(job(1, 1), List.of(), 0), revision));
         assertEquals(200, take(Effect.AnswerUser.class).get(0).status());
     }
+
+    /** A watch that fell behind has the state read anew, under the same map: no token may be used a second time. */
+    @Test
+    void afterTheStateIsReadAnewTokensOnlyGrow() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        long token = take(Effect.AnswerReport.class).get(0).token();
+        hear(10, new Input.WatchFailed(true));
+        hear(600, new Input.Tick());
+        hear(10, new Input.StateListed(List.of(
+                new Input.Row(Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
+                new Input.Row(Keys.presence("n0"), new Presence(1), revision)), revision, revision));
+        hear(500, new Input.ReportReceived(2, report(1, 2, token)));
+        assertTrue(take(Effect.AnswerReport.class).get(0).token() > token);
+    }
 }
