--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -197,4 +197,16 @@
         hear(500, new Input.ReportReceived(2, report(1, 2, token)));
         assertTrue(take(Effect.AnswerReport.class).get(0).token() > token);
     }
+
+    /** A trouble the users named: without state service and peers its lease is over, and others have its machines. */
+    @Test
+    void aControllerThatOnlyItsWorkersReachSendsThemAwayButNotInAnOutageForAll() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size());
+        hear(6000, new Input.ReportReceived(2, report(1, 2, 0)));
+        assertEquals(1, take(Effect.RefuseReport.class).size());
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of())));
+        hear(10, new Input.ReportReceived(3, report(1, 3, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size(), "its peers do not reach the state service either");
+    }
 }
