--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -7,6 +7,7 @@
 
 import dewlane.core.Job;
 import dewlane.core.Keys;
+import dewlane.core.Parts;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
 import dewlane.core.Value;
@@ -271,16 +272,18 @@
     @Test
     void tasksWaitingBeforeOthersThatAreDoneFindRoomElsewhere() {
         World world = quietWorld(3);
+        SimWorker large = world.cloud.create("large", "east", true);
+        large.boot();
+        world.run(15_000);
+        String has = Parts.owner((Value.ClusterMap) world.state.get(Keys.MAP), large.name);
+        String hasNot = world.nodes.keySet().stream().filter(n -> !n.equals(has)).findFirst().orElseThrow();
         BitSet done = new BitSet();
         done.set(2);
         Job job = job(3, 4, List.of("large"), true, 5);
         world.users.know(job);
-        world.state.put(Keys.job(job.id()), new Value.JobRecord(job.withAccepted(1_000_000), List.of(), 0));
-        world.state.put(Keys.slice(job.id(), 0), new Value.Slice("n0", 0, 3, 1, done, List.of()));
         world.checker.finished(job.id(), 2);
-        for (int i = 0; i < 4; i++) {
-            world.cloud.create("large", "east", true).boot();
-        }
+        world.state.put(Keys.job(job.id()), new Value.JobRecord(job.withAccepted(1_000_000), List.of(), 0));
+        world.state.put(Keys.slice(job.id(), 0), new Value.Slice(hasNot, 0, 3, 1, done, List.of()));
         world.run(90_000);
         assertNotNull(world.state.get(Keys.fin(job.id())));
     }
