Sockets within max_sockets, peers told in pages, sleep is no silence, cheaper starts

Cause, by reading and counting: two connections to every machine ever commanded were kept for good, so a controller alone with 1,045 machines and their reports passed its 2,398 sockets; a dead machine got a new, hanging connection with every try; what a controller alone with 1,600 machines tells its peers is over the 64 KiB that they take; a controller that stood still for longer than three times silent_s condemned what it had slept through.

Now: one connection a worker, 15% of the sockets for all of them, the least recently used closed for the next; a command for which there is none is not sent and the answer to the next report says it; 80% for what others open; peers are told 300 machines at a time; after a pause of 3 s silence begins anew. max_sockets too small to work with is refused.

Tests: WorkerPoolsTest; ScaleTest at 1,600 machines and 7 controllers with one alone; storms with freezes, a slow state service, half a zone lost and peers that refuse. The guards of sleep and pages were removed once: their tests fail.

--- a/src/main/java/dewlane/cli/DeployFile.java
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -27,8 +27,10 @@
             peers.put(peer.text("node_name"), peer.address("address"));
         }
         TomlFile services = top.table("services");
+        TomlFile resources = top.table("settings").table("resources");
         Endpoints endpoints = new Endpoints(top.address("serve_on"), top.address("peer_bind"), Map.copyOf(peers),
-                services.address("cloud"), services.address("state"));
+                services.address("cloud"), services.address("state"),
+                resources.count("max_sockets", Endpoints.fewestSockets(peers.size())));
         top.text("area");
         TomlFile all = top.table("settings");
         all.count("initial_size", 1);
@@ -46,10 +48,8 @@
         TomlFile workers = all.table("workers");
         TomlFile state = all.table("state");
         TomlFile cloud = all.table("cloud");
-        TomlFile resources = all.table("resources");
         resources.positive("cpu_share");
         resources.positive("ram_mb");
-        resources.count("max_sockets", 1);
         Settings settings = new Settings(top.text("node_name"), endpoints.peerNames(), Map.copyOf(teams),
                 List.copyOf(objectives), all.texts("zones"), workers.positive("report_s"), workers.positive("lease_s"),
                 workers.positive("cancel_s"), state.positive("rps"), state.positive("write_rps"),
--- a/src/main/java/dewlane/cli/Main.java
+++ b/src/main/java/dewlane/cli/Main.java
@@ -4,56 +4,69 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.Locale;
+import java.io.PrintWriter;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import picocli.CommandLine;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Model.OptionSpec;
-import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.ParseResult;
 
 /** The command line. */
 public final class Main {
     private static final int WRONG_SETTINGS = 2;
+    private static final String WARM_UP = "warm-up";
 
     private Main() { }
 
     public static void main(String[] args) {
-        CommandLine line = new CommandLine(spec());
-        ParseResult parsed;
+        CommandLine line;
         try {
-            parsed = line.parseArgs(args);
-        } catch (ParameterException e) {
-            System.err.println(e.getMessage());
-            line.usage(System.err);
-            System.exit(WRONG_SETTINGS);
+            line = DefaultParser.builder().setAllowPartialMatching(false).build().parse(options(), args);
+            if (!line.getArgList().isEmpty()) {
+                throw new ParseException("Unknown argument: " + line.getArgList().get(0));
+            }
+        } catch (ParseException e) {
+            wrongUsage(e.getMessage());
             return;
         }
-        if (line.isUsageHelpRequested()) {
-            line.usage(System.out);
-        } else if (line.isVersionHelpRequested()) {
-            line.printVersionHelp(System.out);
-        } else if (parsed.hasMatchedOption("--warm-up")) {
+        if (line.hasOption("help")) {
+            usage(new PrintWriter(System.out, true));
+        } else if (line.hasOption("version")) {
+            System.out.println("dewlane " + version());
+        } else if (line.hasOption(WARM_UP)) {
             WarmUp.run();
+        } else if (line.hasOption("config")) {
+            run(line.getOptionValue("config"), line.getOptionValue("operators"));
         } else {
-            run(parsed.matchedOptionValue("--config", (String) null), parsed.matchedOptionValue("--operators", (String) null));
+            wrongUsage("Missing required option: --config FILE");
         }
     }
 
-    private static CommandSpec spec() {
-        CommandSpec spec = CommandSpec.create().name("dewlane");
-        spec.version("dewlane " + version());
-        spec.usageMessage().description("Schedules jobs on rented machines, as one of a set of controllers.");
-        spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(String.class)
-                .description("the deployment's settings (TOML), required").build());
-        spec.addOption(OptionSpec.builder("--operators").paramLabel("FILE").type(String.class)
-                .description("the operators' own settings (TOML), optional").build());
-        spec.addOption(OptionSpec.builder("--warm-up").hidden(true).type(boolean.class).arity("0").build());
-        spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).type(boolean.class).arity("0")
-                .description("prints this and exits").build());
-        spec.addOption(OptionSpec.builder("-V", "--version").versionHelp(true).type(boolean.class).arity("0")
-                .description("prints the version and exits").build());
-        return spec;
+    private static Options options() {
+        return new Options()
+                .addOption(Option.builder().longOpt("config").hasArg().argName("FILE")
+                        .desc("the deployment's settings (TOML), required").build())
+                .addOption(Option.builder().longOpt("operators").hasArg().argName("FILE")
+                        .desc("the operators' own settings (TOML), optional").build())
+                .addOption(Option.builder().longOpt(WARM_UP).desc("only for the build: loads what a start needs, and exits").build())
+                .addOption(Option.builder("h").longOpt("help").desc("prints this and exits").build())
+                .addOption(Option.builder("V").longOpt("version").desc("prints the version and exits").build());
+    }
+
+    private static void usage(PrintWriter to) {
+        HelpFormatter help = new HelpFormatter();
+        help.printHelp(to, 100, "dewlane --config FILE [--operators FILE]",
+                "Schedules jobs on rented machines, as one of a set of controllers.", options(), 2, 2, "");
+        to.flush();
+    }
+
+    private static void wrongUsage(String reason) {
+        System.err.println(reason);
+        usage(new PrintWriter(System.err, true));
+        System.exit(WRONG_SETTINGS);
     }
 
     private static String version() {
@@ -62,11 +75,6 @@
     }
 
     private static void run(String config, String operators) {
-        if (config == null) {
-            System.err.println("Missing required option: --config FILE");
-            new CommandLine(spec()).usage(System.err);
-            System.exit(WRONG_SETTINGS);
-        }
         boolean badLevel = configureLog();
         Logger log = LoggerFactory.getLogger(Main.class);
         if (badLevel) {
--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -17,6 +17,7 @@
 import dewlane.wire.StateWire;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.security.SecureRandom;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
     static void run() {
         Main.configureLog();
         try {
+            new SecureRandom().nextLong();
             core();
             sockets();
         } catch (IOException | InterruptedException | SettingsException e) {
@@ -76,7 +78,7 @@
     private static void sockets() throws IOException, InterruptedException, SettingsException {
         String own = "127.0.0.1:" + freePort();
         String peer = "127.0.0.1:" + freePort();
-        Node node = new Node(settings(), new Endpoints(own, peer, Map.of("other", peer), own, own), 1);
+        Node node = new Node(settings(), new Endpoints(own, peer, Map.of("other", peer), own, own, 500), 1);
         node.start();
         Thread.sleep(700);
         TomlFile.read("deploy/service.toml");
--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -139,9 +139,7 @@
             m.forgetCommands();
         }
         m.address = r.address();
-        m.type = r.type();
-        m.zone = r.zone();
-        m.spot = r.spot();
+        m.isOf(r.type(), r.zone(), r.spot());
         m.session = r.session();
         m.sequence = r.sequence();
         m.seal = r.token();
@@ -151,7 +149,7 @@
         }
         m.reported = reported;
         hear(m, r, answer);
-        MachineType type = machines.type(m.type);
+        MachineType type = machines.type(m);
         for (Live l : m.live.values()) {
             TaskState t = reported.get(l.key);
             Outcome outcome = t == null ? goneBy(l.attempt, r) : endOf(t);
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -14,6 +14,8 @@
     /** Messages that come close together are answered by one pass; with no news there is one now and then. */
     private static final long PASS_MS = 80;
     private static final long QUIET_PASS_MS = 300;
+    /** Machines that one message to a peer tells of: a controller that is alone for a while may have all of them. */
+    private static final int MACHINES_A_PAGE = 300;
     private static final long SLOW_MS = 1000;
     private static final long MOST_SLOWER = 2;
 
@@ -241,7 +243,11 @@
         for (Machine m : placement.usable()) {
             usable.add(new PeerMachine(m.name, m.address, m.type, m.zone, m.spot, m.session, m.sequence));
         }
-        context.emit(new Effect.TellPeers(new PeerStatus(context.settings().node(), replica.map().epoch(),
-                membership.silence() < 2000, usable)));
+        List<PeerStatus> pages = new ArrayList<>();
+        for (int from = 0; from == 0 || from < usable.size(); from += MACHINES_A_PAGE) {
+            pages.add(new PeerStatus(context.settings().node(), replica.map().epoch(), membership.silence() < 2000,
+                    usable.subList(from, Math.min(from + MACHINES_A_PAGE, usable.size()))));
+        }
+        context.emit(new Effect.TellPeers(pages));
     }
 }
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -1,5 +1,7 @@
 package dewlane.core;
 
+import java.util.Locale;
+
 /** What a controller has done since it last said so; plain counts: equal runs have equal ones. */
 final class Counters {
     long reports;
@@ -14,13 +16,29 @@
     long handed;
     long writes;
     long changesWritten;
+    long launched;
+    private final long[] changesBy = new long[Journaller.Urgency.values().length];
     long conflicts;
     long refused;
 
+    void wrote(Journaller.Urgency urgency, int changes) {
+        writes++;
+        changesWritten += changes;
+        changesBy[urgency.ordinal()] += changes;
+    }
+
+    private String byUrgency() {
+        StringBuilder text = new StringBuilder();
+        for (Journaller.Urgency u : Journaller.Urgency.values()) {
+            text.append(text.length() == 0 ? "" : ", ").append(u.name().toLowerCase(Locale.ROOT)).append(' ').append(changesBy[u.ordinal()]);
+        }
+        return text.toString();
+    }
+
     String text() {
         return "reports " + reports + ", changes seen " + changesSeen + " with " + attemptsSeen + " attempts, passes " + passes
                 + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands + ", probes "
                 + probes + ", doubts " + doubts + ", handed on " + handed + ", writes " + writes + " of " + changesWritten
-                + " changes, conflicts " + conflicts + ", refused " + refused;
+                + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts + ", refused " + refused;
     }
 }
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -56,7 +56,7 @@
         int[] rooms = new int[members.size()];
         double[] waiting = new double[members.size()];
         for (Machine m : machines.all()) {
-            MachineType type = machines.type(m.type);
+            MachineType type = machines.type(m);
             if (type != null && type.holds(shape) && takesTasks(m) && job.allows(m.type, m.zone, m.spot)) {
                 rooms[index(members, m.owner)] += m.use.room(type, job);
             }
--- a/src/main/java/dewlane/core/Effect.java
+++ b/src/main/java/dewlane/core/Effect.java
@@ -38,7 +38,12 @@
 
     record Delete(List<String> machines) implements Effect { }
 
-    record TellPeers(PeerStatus status) implements Effect { }
+    /** Tells every other controller; a large part takes several pages, as no message may be larger than 64 KiB. */
+    record TellPeers(List<PeerStatus> pages) implements Effect {
+        public TellPeers {
+            pages = List.copyOf(pages);
+        }
+    }
 
     /** A line for the log. */
     record Log(Level level, String text) implements Effect { }
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -283,7 +283,7 @@
         // One list a place, so that a job looks only at machines that it may use, and each full one is dropped at once.
         Map<Place, List<Bin>> bins = new LinkedHashMap<>();
         for (Machine m : machines.all()) {
-            MachineType type = machines.type(m.type);
+            MachineType type = machines.type(m);
             if (type != null && takesTasks(m) && m.use.cpus() < type.cpus()) {
                 add(bins, new Bin(type, m.zone, m.spot, new Use(m.use)));
             }
@@ -354,7 +354,7 @@
     /** True if there is or soon will be a machine on which tasks of the shape can run at all. */
     private boolean hosted(Job spec, Job.Shape shape) {
         for (Machine m : machines.all()) {
-            MachineType type = machines.type(m.type);
+            MachineType type = machines.type(m);
             if (type != null && type.holds(shape) && spec.allows(m.type, m.zone, m.spot) && takesTasks(m)) {
                 return true;
             }
@@ -462,7 +462,7 @@
     }
 
     private double price(Machine m) {
-        MachineType type = machines.type(m.type);
+        MachineType type = machines.type(m);
         return type == null ? 0 : type.price(m.spot) / type.cpus();
     }
 
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -13,6 +13,9 @@
     /** As many as the cloud deletes at once. */
     private static final int MOST_AT_ONCE = 100;
 
+    /** A pause between two ticks, which come every second, that only a process that stood still has. */
+    private static final long STOOD_STILL_MS = 3000;
+
     private final Context context;
     private final Replica replica;
     private final Machines machines;
@@ -21,6 +24,7 @@
     private final Set<String> asking = new HashSet<>();
     private long incarnation;
     private long records;
+    private long tickedAt;
     private long mostSilentAt = Long.MIN_VALUE / 2;
 
     Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller) {
@@ -32,6 +36,12 @@
     }
 
     void tick() {
+        if (tickedAt != 0 && context.now() - tickedAt > STOOD_STILL_MS) {
+            // What it slept through is nobody's silence: reports of that time may still be on their way in.
+            context.info("stood still for " + (context.now() - tickedAt) + " ms");
+            machines.all().forEach(m -> m.since = context.now());
+        }
+        tickedAt = context.now();
         if (!membership.joined() || membership.silence() > 2000) {
             return;
         }
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -1,6 +1,7 @@
 package dewlane.core;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * What a user submitted.
@@ -26,6 +27,18 @@
         public boolean allowsType(String type) {
             return types.isEmpty() || types.contains(type);
         }
+
+        // Written out, as every job is looked up by its shape in each pass.
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof Shape s && cpus == s.cpus && gpus == s.gpus && memoryGb == s.memoryGb && spot == s.spot
+                    && types.equals(s.types) && Objects.equals(zone, s.zone);
+        }
+
+        @Override
+        public int hashCode() {
+            return ((Double.hashCode(cpus) * 31 + Double.hashCode(memoryGb)) * 31 + types.hashCode()) * 31 + Objects.hashCode(zone);
+        }
     }
 
     public Shape shape() {
--- a/src/main/java/dewlane/core/Journaller.java
+++ b/src/main/java/dewlane/core/Journaller.java
@@ -153,8 +153,7 @@
                 break;
             }
             tokens -= cost;
-            counters.writes++;
-            counters.changesWritten += entry.txn.apply().size();
+            counters.wrote(entry.urgency, entry.txn.apply().size());
             inFlight.put(entry.id, entry);
             context.emit(new Effect.SendTxn(entry.id, entry.txn));
         }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -13,7 +13,18 @@
 /** What this controller knows of a machine. */
 final class Machine {
     /** Names one launch of one task. */
-    record Key(String job, int task, int number) { }
+    record Key(String job, int task, int number) {
+        // Written out, as this is the key of the busiest maps and a record's own are linked at run time and stay slow.
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof Key k && task == k.task && number == k.number && job.equals(k.job);
+        }
+
+        @Override
+        public int hashCode() {
+            return (job.hashCode() * 31 + task) * 31 + number;
+        }
+    }
 
     /** An attempt that the state service holds against this machine. */
     static final class Live {
@@ -45,6 +56,8 @@
     String type;
     String zone;
     boolean spot;
+    /** What the catalog says of the type; null until it is looked up. */
+    MachineType kind;
     long session;
     long sequence;
     long seal;
@@ -124,6 +137,16 @@
         forgetCommands();
     }
 
+    /** Takes what a report or a list says of the machine, which never changes but for a wrong list. */
+    void isOf(String ofType, String inZone, boolean onSpot) {
+        if (!ofType.equals(type)) {
+            type = ofType;
+            kind = null;
+        }
+        zone = inZone;
+        spot = onSpot;
+    }
+
     /** How many tasks of the job the machine has room for, less what is kept for others. */
     int room(MachineType of, Job job) {
         return kept == null ? use.room(of, job) : new Use(use).add(kept).room(of, job);
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -60,6 +60,7 @@
         for (MachineType t : read) {
             types.put(t.name(), t);
         }
+        byName.values().forEach(m -> m.kind = null);
     }
 
     Collection<MachineType> types() {
@@ -70,6 +71,14 @@
         return types.get(name);
     }
 
+    /** The machine's type, or null while it is not known. */
+    MachineType type(Machine m) {
+        if (m.kind == null && m.type != null) {
+            m.kind = types.get(m.type);
+        }
+        return m.kind;
+    }
+
     Machine get(String name) {
         return byName.get(name);
     }
@@ -355,9 +364,7 @@
         }
         Machine m = of(name);
         if (m.heardAt == 0 || m.type == null) {
-            m.type = type;
-            m.zone = zone;
-            m.spot = spot;
+            m.isOf(type, zone, spot);
         }
         if (m.address == null) {
             m.address = address;
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -82,7 +82,7 @@
 
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
-        return m.type != null && machines.type(m.type) != null && m.takenAt == 0 && m.doubtSince == 0
+        return m.type != null && machines.type(m) != null && m.takenAt == 0 && m.doubtSince == 0
                 && m.heardWithin(context.now(), context.settings().heardMs())
                 && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
     }
@@ -105,7 +105,7 @@
         for (Machine m : machines.own()) {
             if (takesTasks(m)) {
                 usable.add(m);
-                if (m.use.cpus() < machines.type(m.type).cpus()) {
+                if (m.use.cpus() < machines.type(m).cpus()) {
                     free.add(m);
                 }
             }
@@ -257,6 +257,9 @@
         journaller.submit(urgency, txn.build(), (status, revision) -> {
             work.writing = false;
             work.settled = revision;
+            if (status == Txn.Status.COMMITTED) {
+                counters.launched += launched.size();
+            }
             if (counted) {
                 quota.answered(spec, revision);
             }
@@ -366,7 +369,7 @@
             if (left <= 0 || !used.contains(m.name) && used.size() >= 4 * context.settings().txnOps() - OTHER_GUARDS) {
                 break;
             }
-            int here = Math.min(left, m.room(machines.type(m.type), spec));
+            int here = Math.min(left, m.room(machines.type(m), spec));
             while (here-- > 0 && zoneAllowed(spec, zones, m.zone)) {
                 Attempt a = new Attempt(value.first() + offset, number, m.name, m.session, m.token(), context.wall());
                 live.add(a);
@@ -428,7 +431,7 @@
         counters.machinesLookedAt += Math.min(n, SAMPLE);
         for (int i = 0; i < Math.min(n, SAMPLE); i++) {
             Machine m = free.get((offset + i) % n);
-            MachineType type = machines.type(m.type);
+            MachineType type = machines.type(m);
             if (m.room(type, spec) < 1 || !spec.allows(m.type, m.zone, m.spot)
                     || (m.failedJobs.contains(job.id) && !machines.work(job.id).faulty())) {
                 continue;
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -113,7 +113,7 @@
     /** What it costs to make room for one more task on the machine. */
     private void offer(Machine m, Replica.JobEntry job, PriorityQueue<Offer> offers) {
         Job spec = job.job();
-        MachineType type = machines.type(m.type);
+        MachineType type = machines.type(m);
         if (!spec.allows(m.type, m.zone, m.spot) || !type.holds(job.shape())) {
             return;
         }
--- a/src/main/java/dewlane/io/HttpPool.java
+++ b/src/main/java/dewlane/io/HttpPool.java
@@ -56,6 +56,7 @@
                 return;
             }
             over = true;
+            calls--;
             timer.remove();
             if (connection != null) {
                 if (reusable && connection.isOpen() && !closed) {
@@ -81,6 +82,9 @@
     private final Deque<ClientConnection> idle = new ArrayDeque<>();
     private final Deque<Call> waiting = new ArrayDeque<>();
     private int open;
+    private int calls;
+    private int connecting;
+    private long usedAt = System.nanoTime();
     private boolean closed;
 
     HttpPool(XnioIoThread thread, ByteBufferPool buffers, String address, int most) {
@@ -95,9 +99,24 @@
         Call call = new Call(method, path, body, callback);
         call.timer = thread.executeAfter(() -> call.end(NO_ANSWER, new byte[0], false), timeoutMs, TimeUnit.MILLISECONDS);
         waiting.add(call);
+        calls++;
+        usedAt = System.nanoTime();
         next();
     }
 
+    /**
+     * True while a call is under way or waits, or a connection is being opened: to a host without power that lasts long after
+     * the call is over, and holds a socket.
+     */
+    boolean busy() {
+        return calls > 0 || connecting > 0;
+    }
+
+    /** Milliseconds since the latest call began. */
+    long idleMs() {
+        return (System.nanoTime() - usedAt) / 1_000_000;
+    }
+
     /** Closes idle connections; calls under way end as they would. */
     void close() {
         closed = true;
@@ -136,12 +155,16 @@
     }
 
     private void connect(Call call) {
+        connecting++;
         UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
             @Override
             public void completed(ClientConnection connection) {
-                if (call.over) {
+                connecting--;
+                if (call.over && closed) {
                     open--;
                     IoUtils.safeClose(connection);
+                } else if (call.over) {
+                    idle.push(connection);
                     next();
                 } else {
                     start(call, connection);
@@ -150,6 +173,7 @@
 
             @Override
             public void failed(IOException e) {
+                connecting--;
                 open--;
                 call.end(NO_ANSWER, new byte[0], false);
                 next();
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -3,6 +3,7 @@
 import dewlane.core.Controller;
 import dewlane.core.Effect;
 import dewlane.core.Input;
+import dewlane.core.PeerStatus;
 import dewlane.core.Report;
 import dewlane.core.Settings;
 import dewlane.wire.PeerWire;
@@ -22,6 +23,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -43,11 +45,13 @@
     private static final int MAX_BODY = 64 * 1024;
     private static final long TICK_MS = 100;
     private static final long USER_MS = 4500;
-    private static final long COMMAND_MS = 2500;
+    private static final long PEER_MS = 1500;
     private static final long SUMMARY_MS = 60_000;
     private static final int MAX_PENDING = 500;
     private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
 
+    private record Asked(long id, long at) { }
+
     private final Settings settings;
     private final Endpoints endpoints;
     private final Controller controller;
@@ -56,10 +60,11 @@
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, 8192, 200, 0);
     private final StateClient state;
     private final CloudClient cloud;
-    private final Map<String, HttpPool> workers = new HashMap<>();
+    private final WorkerPools workers;
     private final Map<String, HttpPool> peers = new HashMap<>();
-    private final Map<String, Boolean> peerBusy = new HashMap<>();
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
+    /** Requests of users in the order in which they came; most are answered by the time it is looked at. */
+    private final Deque<Asked> asked = new ArrayDeque<>();
     private final Deque<Effect> effects = new ArrayDeque<>();
     private final long startedAt = System.nanoTime();
     private final Histogram userMs = new Histogram(60_000, 2);
@@ -82,6 +87,7 @@
         this.state = new StateClient(thread, buffers, endpoints.state(), settings.stateRps(),
                 settings.peers().size() + 1, this::accept);
         this.cloud = new CloudClient(thread, buffers, endpoints.cloud(), this::accept);
+        this.workers = new WorkerPools(thread, buffers, endpoints.commands());
         endpoints.peers().forEach((name, address) -> peers.put(name, new HttpPool(thread, buffers, address, 1)));
     }
 
@@ -90,6 +96,8 @@
         server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, endpoints.inbound())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, endpoints.inbound() - 1)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
@@ -122,6 +130,9 @@
             return;
         }
         thread.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+        while (!asked.isEmpty() && System.nanoTime() - asked.peek().at() > USER_MS * 1_000_000) {
+            reply(asked.poll().id(), 503, UserWire.error("no answer in time, try again"));
+        }
         accept(new Input.Tick());
     }
 
@@ -131,7 +142,8 @@
             return;
         }
         thread.executeAfter(this::summarise, SUMMARY_MS, TimeUnit.MILLISECONDS);
-        LOG.info("since the start: {}", controller.counts());
+        workers.closeIdle();
+        LOG.info("since the start: {}; connections to {} workers", controller.counts(), workers.size());
         if (userMs.getTotalCount() > 0) {
             LOG.info("answered {} user requests in the last minute: p50 {} ms, p99 {} ms, longest {} ms",
                     userMs.getTotalCount(), userMs.getValueAtPercentile(50), userMs.getValueAtPercentile(99), userMs.getMaxValue());
@@ -201,31 +213,34 @@
 
     private void command(Effect.Command command) {
         boolean launches = command.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
-        HttpPool pool = workers.computeIfAbsent(command.address(), a -> new HttpPool(thread, buffers, a, 2));
         byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
-        pool.send(Methods.POST, WorkerWire.COMMAND, body, COMMAND_MS, (status, answer) -> {
+        boolean sent = workers.send(command.address(), WorkerWire.COMMAND, body, (status, answer) -> {
             Report report = null;
             try {
                 report = status == 200 || status == 409 ? WorkerWire.report(answer) : null;
             } catch (IOException | NumberFormatException e) {
                 LOG.error("unreadable report of {}: {}", command.machine(), e.getMessage());
             }
-            if (report == null) {
-                workers.remove(command.address());
-                pool.close();
-            }
             accept(new Input.CommandAnswered(command.machine(), command.token(), launches, report));
         });
+        if (!sent) {
+            // Nothing went out, so nothing can arrive late: the answers to the machine's reports say the same.
+            accept(new Input.CommandAnswered(command.machine(), command.token(), false, null));
+        }
     }
 
     private void tellPeers(Effect.TellPeers tell) {
         try {
-            byte[] body = PeerWire.status(tell.status());
-            peers.forEach((name, pool) -> {
-                if (peerBusy.putIfAbsent(name, true) == null) {
-                    pool.send(Methods.POST, PeerWire.STATUS, body, 1500, (status, answer) -> peerBusy.remove(name));
+            List<byte[]> pages = new ArrayList<>();
+            for (PeerStatus page : tell.pages()) {
+                pages.add(PeerWire.status(page));
+            }
+            for (HttpPool pool : peers.values()) {
+                // One that does not answer is told again once its time has run out, of what is true by then.
+                if (!pool.busy()) {
+                    pages.forEach(page -> pool.send(Methods.POST, PeerWire.STATUS, page, PEER_MS, (status, answer) -> { }));
                 }
-            });
+            }
         } catch (IOException e) {
             LOG.error("cannot write a status: {}", e.getMessage());
         }
@@ -288,7 +303,7 @@
             userMs.recordValue(Math.min(60_000, (System.nanoTime() - askedAt) / 1_000_000));
             next.proceed();
         });
-        thread.executeAfter(() -> reply(id, 503, UserWire.error("no answer in time, try again")), USER_MS, TimeUnit.MILLISECONDS);
+        asked.add(new Asked(id, askedAt));
         accept(input.apply(id));
     }
 
--- /dev/null
+++ b/src/main/java/dewlane/io/WorkerPools.java
@@ -0,0 +1,71 @@
+package dewlane.io;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Methods;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.xnio.XnioIoThread;
+
+/**
+ * Connections for commands, one a worker, and never more than a bound: a controller that is left alone with all machines
+ * must not use up the sockets that reports, users and the state service need. The one that was idle for longest makes room.
+ */
+final class WorkerPools {
+    private static final long COMMAND_MS = 2500;
+    private static final long IDLE_MS = 60_000;
+
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final int most;
+    /** The least recently used first. */
+    private final Map<String, HttpPool> pools = new LinkedHashMap<>(64, 0.75f, true);
+
+    WorkerPools(XnioIoThread thread, ByteBufferPool buffers, int most) {
+        this.thread = thread;
+        this.buffers = buffers;
+        this.most = most;
+    }
+
+    /** Sends a command; false if no connection may be opened for it now, so that nothing is sent. */
+    boolean send(String address, String path, byte[] body, HttpPool.Callback callback) {
+        HttpPool pool = pools.get(address);
+        if (pool == null) {
+            if (pools.size() >= most && !makeRoom()) {
+                return false;
+            }
+            pool = new HttpPool(thread, buffers, address, 1);
+            pools.put(address, pool);
+        }
+        // A pool stays after a call without an answer: a new one would open one more connection to a machine that hangs.
+        pool.send(Methods.POST, path, body, COMMAND_MS, callback);
+        return true;
+    }
+
+    private boolean makeRoom() {
+        for (Iterator<HttpPool> i = pools.values().iterator(); i.hasNext(); ) {
+            HttpPool pool = i.next();
+            if (!pool.busy()) {
+                i.remove();
+                pool.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Closes what was not used for long: its machine may be gone or another controller's. */
+    void closeIdle() {
+        pools.values().removeIf(pool -> {
+            boolean idle = !pool.busy() && pool.idleMs() > IDLE_MS;
+            if (idle) {
+                pool.close();
+            }
+            return idle;
+        });
+    }
+
+    int size() {
+        return pools.size();
+    }
+}
--- a/src/test/java/dewlane/cli/DeployFileTest.java
+++ b/src/test/java/dewlane/cli/DeployFileTest.java
@@ -46,7 +46,8 @@
         "txn_ops = 16 | txn_ops = 1.5 | settings.state.txn_ops: expected an integer of at least 8",
         "cpus_max = 16.0 | cpus_max = -1 | settings.teams.cpus_max: expected a number of at least 0",
         "zones = [\"east\", \"west\"] | zones = [1] | settings.zones: expected an array of strings",
-        "max_sockets = 1000 | max_sockets = true | settings.resources.max_sockets: expected an integer of at least 1"})
+        "max_sockets = 1000 | max_sockets = true | settings.resources.max_sockets: expected an integer of at least 136",
+        "max_sockets = 1000 | max_sockets = 135 | settings.resources.max_sockets: expected an integer of at least 136"})
     void aBadFieldIsNamedWithWhatWasExpected(String good, String bad, String message) throws IOException {
         String file = with(good, bad);
         SettingsException e = assertThrows(SettingsException.class, () -> DeployFile.read(file, null));
--- /dev/null
+++ b/src/test/java/dewlane/io/WorkerPoolsTest.java
@@ -0,0 +1,96 @@
+package dewlane.io;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Found by counting: a controller that had commanded all machines kept two connections to each, and with every report
+ * connection beside them passed the sockets it is given.
+ */
+class WorkerPoolsTest {
+    private static final int MOST = 10;
+
+    private final LinkedBlockingQueue<HttpServerExchange> held = new LinkedBlockingQueue<>();
+    private Undertow machines;
+    private int port;
+    private XnioWorker worker;
+    private WorkerPools pools;
+
+    /** One listener stands for all machines, each with a loopback address of its own. */
+    @BeforeEach
+    void start() throws Exception {
+        machines = Undertow.builder().addHttpListener(0, "0.0.0.0").setIoThreads(1).setWorkerThreads(1).setHandler(exchange -> {
+            if (exchange.getRequestPath().equals("/hold")) {
+                exchange.dispatch(() -> held.add(exchange));
+            } else {
+                exchange.getResponseSender().send("{}");
+            }
+        }).build();
+        machines.start();
+        port = ((InetSocketAddress) machines.getListenerInfo().get(0).getAddress()).getPort();
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        pools = new WorkerPools(worker.getIoThread(), new DefaultByteBufferPool(false, 1024), MOST);
+    }
+
+    @AfterEach
+    void stop() {
+        worker.shutdownNow();
+        machines.stop();
+    }
+
+    private String address(int machine) {
+        return "127.0.0." + (machine + 1) + ":" + port;
+    }
+
+    /** Sends on the I/O thread, as all that uses the pools does; the answer's status, or null if nothing was sent. */
+    private CompletableFuture<Integer> send(int machine, String path) throws Exception {
+        CompletableFuture<CompletableFuture<Integer>> sent = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> {
+            CompletableFuture<Integer> status = new CompletableFuture<>();
+            boolean taken = pools.send(address(machine), path, new byte[0], (s, body) -> status.complete(s));
+            sent.complete(taken ? status : null);
+        });
+        return sent.get();
+    }
+
+    @Test
+    void connectionsToAnyNumberOfMachinesStayWithinTheBound() throws Exception {
+        for (int machine = 0; machine < 5 * MOST; machine++) {
+            assertEquals(200, send(machine, "/do").get());
+            assertTrue(pools.size() <= MOST, pools.size() + " pools");
+        }
+        assertEquals(MOST, pools.size());
+    }
+
+    @Test
+    void aCommandThatFindsNoFreeConnectionIsNotSentAndTheNextOneIs() throws Exception {
+        List<CompletableFuture<Integer>> waiting = new ArrayList<>();
+        for (int machine = 0; machine < MOST; machine++) {
+            waiting.add(send(machine, "/hold"));
+        }
+        assertEquals(null, send(MOST, "/do"));
+        HttpServerExchange first = held.take();
+        assertFalse(waiting.stream().anyMatch(CompletableFuture::isDone));
+        first.getResponseSender().send("{}");
+        CompletableFuture.anyOf(waiting.toArray(CompletableFuture[]::new)).get();
+        assertEquals(200, send(MOST, "/do").get());
+    }
+}
--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -59,6 +59,7 @@
         });
         world.run(STORM_MS);
         world.trouble = 0;
+        world.state.slowMs = 0;
         world.users.askAboutAll();
         world.run(CALM_MS);
         return world;
@@ -69,7 +70,7 @@
         SimNode node = nodes.get(world.random.nextInt(nodes.size()));
         List<SimWorker> machines = world.cloud.machines.values().stream().filter(m -> !m.gone && m.up).toList();
         SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
-        switch (world.random.nextInt(23)) {
+        switch (world.random.nextInt(29)) {
             case 0, 1 -> crash(world, node, world.between(100, 9000));
             case 2 -> nodes.forEach(n -> crash(world, n, world.between(100, 6000)));
             case 3 -> {
@@ -149,6 +150,32 @@
                     }
                 }
             }
+            case 22, 23 -> node.freeze(world.between(1500, 40_000));
+            case 24 -> {
+                world.state.slowMs = world.between(200, 1200);
+                world.after(world.between(5000, 30_000), () -> world.state.slowMs = 0);
+            }
+            case 25 -> {
+                // Half of a zone at once: dead, hanging or cut off, with what was on its way held back.
+                String zone = world.chance(0.5) ? "east" : "west";
+                int how = world.random.nextInt(3);
+                for (SimWorker m : machines) {
+                    if (m.zone.equals(zone) && world.chance(0.5)) {
+                        switch (how) {
+                            case 0 -> m.vanish();
+                            case 1 -> m.hangsUntil = world.now() + world.between(5000, 40_000);
+                            default -> {
+                                m.cut = true;
+                                world.after(world.between(5000, 40_000), () -> m.cut = false);
+                            }
+                        }
+                    }
+                }
+            }
+            case 26, 27 -> {
+                nodes.forEach(n -> n.cutFromPeers = true);
+                world.after(world.between(2000, 30_000), () -> nodes.forEach(n -> n.cutFromPeers = false));
+            }
             default -> {
                 world.trouble = 0.2;
                 world.after(5000, () -> world.trouble = world.now() < STORM_MS ? 0.02 : 0);
--- a/src/test/java/dewlane/sim/ScaleTest.java
+++ b/src/test/java/dewlane/sim/ScaleTest.java
@@ -1,27 +1,29 @@
 package dewlane.sim;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewlane.core.Job;
 import dewlane.core.Keys;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
+import dewlane.core.Value;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-/** A thousand machines, five controllers and arrays of hundreds of tasks: what is counted must not grow with them. */
+/** Sixteen hundred machines, seven controllers and arrays of hundreds of tasks: what is counted must not grow with them. */
 class ScaleTest {
-    private static final int CONTROLLERS = 5;
-    private static final int MACHINES = 1000;
+    private static final int CONTROLLERS = 7;
+    private static final int MACHINES = 1600;
     private static final int JOBS = 120;
     private static final long ARRIVE_MS = 1000;
 
-    private static World world() {
+    private static World world(double idleS) {
         List<String> names = IntStream.range(0, CONTROLLERS).mapToObj(i -> "n" + i).toList();
         Settings settings = new Settings("none", names, Map.of("blue", new Settings.Team("blue", 600, 0, 3000, 0)),
-                List.of(), List.of("east", "west"), 5, 29, 59, 150, 30, 32_768, 16, 4, 4, new Settings.Tuning(3000, 12, 60, 4, 256));
+                List.of(), List.of("east", "west"), 5, 29, 59, 150, 30, 32_768, 16, 4, 4, new Settings.Tuning(3000, 12, idleS, 4, 256));
         World world = new World(11, settings, World.Broken.NONE);
         world.trouble = 0;
         world.cloud.room = MACHINES;
@@ -37,17 +39,21 @@
         return world;
     }
 
+    private static Job job(int i, int tasks) {
+        return new Job(String.format("wk-%06d", i), "lot", "blue", Priority.HIGH, tasks, 2, 0, 4, "image-" + i % 10, 1,
+                List.of(), null, false, false, true, 9, 0, 0, 60, 0);
+    }
+
     @Test
-    void aThousandMachinesAndArraysOfHundredsOfTasksCostFewChanges() {
-        World world = world();
+    void manyMachinesAndArraysOfHundredsOfTasksCostFewChanges() {
+        World world = world(60);
         world.run(15_000);
         long before = world.state.changes;
         int tasks = 0;
         for (int i = 0; i < JOBS; i++) {
             int n = i == 60 ? 500 : 60 + 7 * (i % 11);
             tasks += n;
-            Job job = new Job(String.format("wk-%06d", i), "lot", "blue", Priority.HIGH, n, 2, 0, 4, "image-" + i % 10, 1,
-                    List.of(), null, false, false, true, 9, 0, 0, 60, 0);
+            Job job = job(i, n);
             world.after(i * ARRIVE_MS, () -> world.users.submit(job));
         }
         world.run(15_000 + JOBS * ARRIVE_MS + 60_000);
@@ -64,4 +70,23 @@
             assertTrue(node.jobsPerPass() < 40, node.name + " looks at " + node.jobsPerPass() + " jobs a pass");
         }
     }
+
+    /** Found by counting: what a controller alone with all machines told its peers was longer than they take. */
+    @Test
+    void aControllerAloneWithAllMachinesLosesNoneAndTellsItsPeersInPages() {
+        World world = world(600);
+        world.run(15_000);
+        world.nodes.values().stream().skip(1).forEach(n -> n.crash(20_000));
+        for (int i = 0; i < 30; i++) {
+            Job job = job(i, 60);
+            world.after(i * ARRIVE_MS, () -> world.users.submit(job));
+        }
+        world.run(120_000);
+        for (int i = 0; i < 30; i++) {
+            assertTrue(world.state.get(Keys.fin(job(i, 60).id())) != null, i + " never ended");
+        }
+        assertEquals(MACHINES, world.cloud.machines.size(), "no machine was deleted for its silence");
+        long maps = ((Value.ClusterMap) world.state.get(Keys.MAP)).epoch();
+        assertTrue(maps <= 3 * CONTROLLERS, maps + " maps for one crash of all but one");
+    }
 }
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -82,6 +82,25 @@
         assertEquals(18, world.checker.starts);
     }
 
+    /** A controller alone stands still for longer than machines may be silent: what it slept through condemns none. */
+    @Test
+    void aControllerThatStoodStillCondemnsNothingWhenItWakes() {
+        World world = quietWorld(9);
+        world.nodes.get("n1").crash(600_000);
+        world.nodes.get("n2").crash(600_000);
+        world.run(20_000);
+        world.users.submit(job(18, 2, List.of(), true, 80));
+        world.run(35_000);
+        // Nobody can take its part over: its lease stays for as long as the state service is out.
+        world.state.outage(45_000);
+        world.nodes.get("n0").freeze(44_000);
+        world.run(200_000);
+        assertEquals(Map.of(), world.state.all(Keys.MACHINES));
+        for (int i = 1; i <= 9; i++) {
+            assertTrue(world.cloud.machines.containsKey("vm-00000" + i), "machine " + i + " was not deleted");
+        }
+    }
+
     @Test
     void aLargeJobOfSmallTasksStaysWithinTheLimitsOfTheStateService() {
         World world = quietWorld(6);
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -4,7 +4,11 @@
 import dewlane.core.Effect;
 import dewlane.core.Input;
 import dewlane.core.Order;
+import dewlane.core.PeerStatus;
 import dewlane.core.Report;
+import dewlane.wire.PeerWire;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -32,6 +36,9 @@
     private final Deque<Effect> effects = new ArrayDeque<>();
     private boolean acting;
     private long nextId = 1;
+    private long frozenUntil;
+    /** What came while the process stood still; it finds all of it at once. */
+    private final Deque<Input> slept = new ArrayDeque<>();
 
     SimNode(World world, String name) {
         this.world = world;
@@ -44,6 +51,8 @@
         users.clear();
         reports.clear();
         effects.clear();
+        slept.clear();
+        frozenUntil = 0;
         core = new Controller(settingsOf(name), world.random.nextLong());
         ticks(life);
     }
@@ -56,7 +65,9 @@
 
     private void ticks(int of) {
         if (life == of && alive) {
-            hear(of, new Input.Tick());
+            if (world.now() >= frozenUntil) {
+                hear(of, new Input.Tick());
+            }
             world.after(100, () -> ticks(of));
         }
     }
@@ -68,6 +79,18 @@
         world.after(backAfterMs, this::start);
     }
 
+    /** Stands still while its clocks run on. */
+    void freeze(long ms) {
+        world.trace("freeze " + name);
+        frozenUntil = world.now() + ms;
+        int of = life;
+        world.after(ms, () -> {
+            while (!slept.isEmpty() && life == of && world.now() >= frozenUntil) {
+                hear(of, slept.poll());
+            }
+        });
+    }
+
     /** How many jobs a pass looked at on average. */
     double jobsPerPass() {
         return core.jobsPerPass();
@@ -85,6 +108,10 @@
         if (!alive || life != of) {
             return;
         }
+        if (world.now() < frozenUntil) {
+            slept.add(input);
+            return;
+        }
         effects.addAll(core.handle(world.now(), 1_000_000 + world.now(), input));
         if (acting) {
             return;
@@ -98,6 +125,15 @@
 
     /** A request and its answer; if either is lost, {@code silence} is heard once the time is up. */
     void call(BooleanSupplier reachable, Supplier<Input> service, Input silence, long timeoutMs) {
+        call(reachable, service, silence, timeoutMs, 0);
+    }
+
+    /** As above, to the state service, which may be slow. */
+    void callState(Supplier<Input> service, Input silence, long timeoutMs) {
+        call(this::stateReachable, service, silence, timeoutMs, world.state.slowMs);
+    }
+
+    private void call(BooleanSupplier reachable, Supplier<Input> service, Input silence, long timeoutMs, int slowMs) {
         int of = life;
         boolean[] heard = {false};
         world.after(timeoutMs, () -> {
@@ -111,14 +147,16 @@
         }
         world.deliver(() -> {
             Input answer = service.get();
-            if (reachable.getAsBoolean()) {
-                world.deliver(() -> {
-                    if (!heard[0]) {
-                        heard[0] = true;
-                        hear(of, answer);
-                    }
-                });
-            }
+            world.after(slowMs == 0 ? 0 : world.between(slowMs / 3, slowMs), () -> {
+                if (reachable.getAsBoolean()) {
+                    world.deliver(() -> {
+                        if (!heard[0]) {
+                            heard[0] = true;
+                            hear(of, answer);
+                        }
+                    });
+                }
+            });
         });
     }
 
@@ -153,6 +191,17 @@
         }
     }
 
+    private void measure(PeerStatus page) {
+        try {
+            int bytes = PeerWire.status(page).length;
+            if (bytes > 65_536) {
+                throw new AssertionError(name + " sends its peers " + bytes + " bytes at once");
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void act(Effect effect) {
         if (effect instanceof Effect.AnswerUser e) {
             Consumer<Effect.AnswerUser> then = users.remove(e.id());
@@ -188,10 +237,11 @@
         } else if (effect instanceof Effect.Delete e) {
             world.cloud.delete(this, e.machines());
         } else if (effect instanceof Effect.TellPeers e) {
+            e.pages().forEach(this::measure);
             for (SimNode peer : world.nodes.values()) {
                 int of = peer.life;
                 if (peer != this && !cutFromPeers && !peer.cutFromPeers) {
-                    world.deliver(() -> peer.hear(of, new Input.PeerHeard(e.status())));
+                    e.pages().forEach(page -> world.deliver(() -> peer.hear(of, new Input.PeerHeard(page))));
                 }
             }
         } else if (effect instanceof Effect.Log e) {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -26,6 +26,8 @@
     private final List<Watch> watches = new ArrayList<>();
     final Set<String> refused = new HashSet<>();
     boolean out;
+    /** How long an answer takes at most beyond the usual. */
+    int slowMs;
     /** Puts and deletes so far but of machines' records, and the longest value and transaction, in bytes. */
     long changes;
     int longestValue;
@@ -64,7 +66,7 @@
     }
 
     void list(SimNode node) {
-        node.call(node::stateReachable, () -> {
+        node.callState(() -> {
             if (!serves(node)) {
                 return new Input.ListFailed();
             }
@@ -110,7 +112,7 @@
     }
 
     void txn(SimNode node, long id, Txn txn) {
-        node.call(node::stateReachable, () -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
+        node.callState(() -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
                 new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0), 1500);
     }
 
@@ -183,7 +185,7 @@
     }
 
     void read(SimNode node, long id, String key) {
-        node.call(node::stateReachable, () -> {
+        node.callState(() -> {
             Held held = keys.get(key);
             return serves(node) ? new Input.ValueRead(id, true, held == null ? null : held.value, held == null ? 0 : held.version)
                     : new Input.ValueRead(id, false, null, 0);
@@ -191,7 +193,7 @@
     }
 
     void grant(SimNode node, long ttl) {
-        node.call(node::stateReachable, () -> {
+        node.callState(() -> {
             if (!serves(node)) {
                 return new Input.LeaseGranted(0);
             }
@@ -202,7 +204,7 @@
     }
 
     void touch(SimNode node, long lease, long ttl) {
-        node.call(node::stateReachable, () -> {
+        node.callState(() -> {
             if (!serves(node)) {
                 return new Input.LeaseTouched(lease, false, false);
             }
