Effects wait for their turn: commands without a connection no longer overflow the stack

A controller alone with all machines has hundreds of these at once, each handled within the other: StackOverflowError, the effects behind it late.

A command that finds a connection takes the same way as before.

--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -65,12 +65,11 @@
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
     /** Requests of users in the order in which they came; most are answered by the time it is looked at. */
     private final Deque<Asked> asked = new ArrayDeque<>();
-    private final Deque<Effect> effects = new ArrayDeque<>();
+    private final EffectQueue effects = new EffectQueue(this::act);
     private final long startedAt = System.nanoTime();
     private final Histogram userMs = new Histogram(60_000, 2);
     private Undertow server;
     private long nextId = 1;
-    private boolean acting;
 
     public Node(Settings settings, Endpoints endpoints, long seed) throws IOException {
         this.settings = settings;
@@ -154,18 +153,9 @@
     /** Gives a message to the core and does what it wants done. */
     private void accept(Input input) {
         try {
-            effects.addAll(controller.handle((System.nanoTime() - startedAt) / 1_000_000, System.currentTimeMillis(), input));
-            if (acting) {
-                return;
-            }
-            acting = true;
-            while (!effects.isEmpty()) {
-                act(effects.poll());
-            }
+            effects.take(controller.handle((System.nanoTime() - startedAt) / 1_000_000, System.currentTimeMillis(), input));
         } catch (RuntimeException e) {
             LOG.error("a fault while handling {}", input.getClass().getSimpleName(), e);
-        } finally {
-            acting = false;
         }
     }
 
