--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -34,16 +34,18 @@
     private final Machines machines;
     private final Membership membership;
     private final Placement placement;
+    private final Cancellations cancellations;
     private final Counters counters;
     private final String self;
 
     Attempts(Context context, Replica replica, Machines machines, Membership membership, Placement placement,
-             Counters counters) {
+             Cancellations cancellations, Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
         this.placement = placement;
+        this.cancellations = cancellations;
         this.counters = counters;
         this.self = context.settings().node();
     }
@@ -51,12 +53,12 @@
     /**
      * Takes a report; {@code id} 0 is one that came with the answer to a command.
      *
-     * <p>A controller that has not heard from the state service for long may miss a cancellation. It lets its
-     * workers' leases run out while there is still time for that before the cancellation must have ended.
+     * <p>A controller whose view is stale may miss a cancellation. It lets its workers' leases run out while there is
+     * still time for that: see {@link Cancellations}.
      */
     void report(long id, Report r) {
         counters.reports++;
-        if (!membership.joined() || membership.superseded() || membership.silence() > trustMs() || membership.isolated()) {
+        if (!membership.joined() || membership.superseded() || !cancellations.mayRenewLeases() || membership.isolated()) {
             refuse(id);
             return;
         }
@@ -81,6 +83,7 @@
         }
         take(m, r, id == 0);
         if (id != 0) {
+            m.reportedAt = context.now();
             List<Order> orders = orders(m, true);
             m.promised = m.token();
             m.promisedLaunches.clear();
@@ -120,11 +123,6 @@
         return newer && strayed > (machines.listedByOwner(m) ? 3500 : 500);
     }
 
-    private long trustMs() {
-        Settings s = context.settings();
-        return (long) (1000 * Math.max(2, s.cancelS() - s.leaseS() - 10));
-    }
-
     private void refuse(long id) {
         if (id != 0) {
             context.emit(new Effect.RefuseReport(id));
@@ -252,7 +250,7 @@
         boolean raise = m.unsure && !forget.isEmpty();
         for (Live l : m.live.values()) {
             // A launch that may still be on its way must not arrive after its job's cancellation.
-            raise |= ended(l.job) && !m.reported.containsKey(l.key)
+            raise |= cancellations.ended(l.job) && !m.reported.containsKey(l.key)
                     && l.attempt.session() == m.session && l.attempt.token() == m.token();
         }
         if (raise) {
@@ -286,15 +284,16 @@
         TaskState t = m.reported.get(l.key);
         Attempt a = l.attempt;
         if (t == null) {
-            // Only the token written with the launch may ever command it, or the proof of gone would not hold.
-            boolean mayLaunch = !ended(l.job) && a.session() == m.session && a.token() == m.token()
+            // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a launch
+            // written long ago must not be sent on a view that may lack its job's cancellation.
+            boolean mayLaunch = cancellations.mayLaunch() && !cancellations.ended(l.job) && a.session() == m.session && a.token() == m.token()
                     && !machines.work(l.job.id).outcomes.containsKey(l.key);
             return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
         }
         if (t.phase() == Phase.EXITED) {
             return null;
         }
-        if (ended(l.job)) {
+        if (cancellations.ended(l.job)) {
             return new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), 0);
         }
         Double grace = m.stops.get(l.key);
@@ -302,10 +301,6 @@
                 : new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), grace);
     }
 
-    private static boolean ended(JobEntry job) {
-        return job.job() == null || job.aborted();
-    }
-
     /** An attempt on the machine that the replica does not hold against it. */
     private void settle(Machine m, Key key, TaskState t, List<Key> forget, List<Key> strangers) {
         JobEntry job = replica.job(key.job());
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -25,14 +25,18 @@
     private final Release release = new Release();
     private final Journaller journaller;
     private final Membership membership;
+    private final Cancellations cancellations;
     private final Machines machines;
     private final Attempts attempts;
     private final Placement placement;
     private final Health health;
     private final Fleet fleet;
     private final Users users;
+    private final Lending lending;
     private boolean listing;
     private long listedAt;
+    /** When the watch under way, or the listing before it, was asked for: its answer shows all that was by then. */
+    private long watchedAt;
     private boolean loaded;
     private long loadedFrom;
     private boolean dirty;
@@ -42,16 +46,19 @@
 
     public Controller(Settings settings, long seed) {
         context = new Context(settings, seed);
+        cancellations = new Cancellations(context);
         journaller = new Journaller(context, counters);
         machines = new Machines(context, replica);
         membership = new Membership(context, replica, machines, journaller);
         Quota quota = new Quota(settings, replica, machines);
         Dealer dealer = new Dealer(context, replica, machines, quota);
-        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer, counters);
-        attempts = new Attempts(context, replica, machines, membership, placement, counters);
-        health = new Health(context, replica, machines, membership, journaller);
+        lending = new Lending(context, replica, membership, quota, dealer);
+        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer,
+                cancellations, counters);
+        attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
+        health = new Health(context, replica, machines, membership, journaller, cancellations);
         fleet = new Fleet(context, replica, machines, membership, journaller, placement, quota);
-        users = new Users(context, replica, machines, membership, journaller, dealer);
+        users = new Users(context, replica, machines, membership, journaller, dealer, cancellations);
     }
 
     /** Handles one message that arrived at the given steady time and time of day. */
@@ -144,8 +151,7 @@
         } else if (input instanceof Input.Deleted in) {
             fleet.deleted(in);
         } else if (input instanceof Input.PeerHeard in) {
-            machines.peer(in.status());
-            membership.peerEpoch(in.status().epoch());
+            heardPeer(in.status());
         }
     }
 
@@ -158,6 +164,10 @@
         membership.tick(loaded && replica.revision() >= loadedFrom);
         journaller.pump();
         dirty |= context.now() - passedAt >= QUIET_PASS_MS;
+        if (cancellations.takeNews() && membership.joined()) {
+            // Owners need not wait for their watch, which may be refused just now.
+            context.emit(new Effect.TellPeers(List.of(status(List.of()))));
+        }
         if (context.now() - slowAt >= SLOW_MS) {
             slowAt = context.now();
             if (replica.map() != null) {
@@ -166,6 +176,7 @@
             health.tick();
             attempts.tick();
             fleet.tick();
+            lending.tick();
             // What peers are told costs each of them something, so the more there are, the seldomer.
             if (context.now() - toldAt >= Math.min(SLOW_MS * MOST_SLOWER, SLOW_MS * context.settings().peers().size() / 3)) {
                 toldAt = context.now();
@@ -181,8 +192,26 @@
         // Changes between the listing's first and last page are only complete once the watch has passed them.
         loadedFrom = in.latest();
         replica.load(in.rows(), in.revision());
+        cancellations.viewed(listedAt);
         context.info("read " + replica.jobs().size() + " jobs from the state service at revision " + in.revision());
-        context.emit(new Effect.Watch(in.revision()));
+        watch(in.revision());
+    }
+
+    private void watch(long since) {
+        watchedAt = context.now();
+        context.emit(new Effect.Watch(since));
+    }
+
+    private void heardPeer(PeerStatus status) {
+        machines.peer(status);
+        membership.peerEpoch(status.epoch());
+        for (String job : status.cancelled()) {
+            JobEntry entry = cancellations.heard(job) ? replica.job(job) : null;
+            if (entry != null) {
+                machines.touchAll(entry);
+                dirty = true;
+            }
+        }
     }
 
     private void changes(Input.Changes in) {
@@ -195,10 +224,11 @@
         }
         counters.changesSeen += in.changes().size();
         replica.advance(in.revision());
+        cancellations.viewed(watchedAt);
         if (!in.changes().isEmpty()) {
             dirty = true;
         }
-        context.emit(new Effect.Watch(in.revision()));
+        watch(in.revision());
     }
 
     private void watchFailed(Input.WatchFailed in) {
@@ -206,13 +236,14 @@
             context.info("the watch fell behind, reading the state anew");
             loaded = false;
         } else if (loaded) {
-            context.emit(new Effect.Watch(replica.revision()));
+            watch(replica.revision());
         }
     }
 
     /** Each change of the replica goes to those that keep something which follows from it. */
     private void follow(Delta delta) {
         machines.follow(delta);
+        cancellations.follow(delta);
         if (delta instanceof Delta.JobChanged d) {
             track(d);
         } else if (delta instanceof Delta.SliceChanged d && d.after() != null) {
@@ -245,9 +276,13 @@
         }
         List<PeerStatus> pages = new ArrayList<>();
         for (int from = 0; from == 0 || from < usable.size(); from += MACHINES_A_PAGE) {
-            pages.add(new PeerStatus(context.settings().node(), replica.map().epoch(), membership.silence() < 2000,
-                    usable.subList(from, Math.min(from + MACHINES_A_PAGE, usable.size()))));
+            pages.add(status(usable.subList(from, Math.min(from + MACHINES_A_PAGE, usable.size()))));
         }
         context.emit(new Effect.TellPeers(pages));
     }
+
+    private PeerStatus status(List<PeerMachine> page) {
+        return new PeerStatus(context.settings().node(), replica.map().epoch(), membership.silence() < 2000,
+                cancellations.toTell(), page);
+    }
 }
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -31,6 +31,8 @@
     private final Machines machines;
     private final Quota quota;
     private final Map<Asked, List<Offer>> counted = new HashMap<>();
+    /** By shape, the tasks that each part has room for. */
+    private final Map<Job.Shape, int[]> rooms = new HashMap<>();
     private long countedAt = Long.MIN_VALUE / 2;
     private long countedFor;
 
@@ -43,24 +45,39 @@
 
     /** What each part offers a job, the one with the most to spare first; asked again soon, it is as it was. */
     private List<Offer> offers(Job job, Job.Shape shape) {
+        keepFresh();
+        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team()), a -> count(job, shape));
+    }
+
+    /** Tasks of the job that each part of the map has room for. */
+    int[] rooms(Job job, Job.Shape shape) {
+        keepFresh();
+        return rooms.computeIfAbsent(shape, k -> {
+            List<Member> members = replica.map().members();
+            int[] found = new int[members.size()];
+            for (Machine m : machines.all()) {
+                MachineType type = machines.type(m);
+                if (type != null && type.holds(shape) && takesTasks(m) && job.allows(m.type, m.zone, m.spot)) {
+                    found[index(members, m.owner)] += m.use.room(type, job);
+                }
+            }
+            return found;
+        });
+    }
+
+    private void keepFresh() {
         if (context.now() - countedAt > KEEP_MS || replica.mapVersion() != countedFor) {
             counted.clear();
+            rooms.clear();
             countedAt = context.now();
             countedFor = replica.mapVersion();
         }
-        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team()), a -> count(job, shape));
     }
 
     private List<Offer> count(Job job, Job.Shape shape) {
         List<Member> members = replica.map().members();
-        int[] rooms = new int[members.size()];
+        int[] rooms = rooms(job, shape);
         double[] waiting = new double[members.size()];
-        for (Machine m : machines.all()) {
-            MachineType type = machines.type(m);
-            if (type != null && type.holds(shape) && takesTasks(m) && job.allows(m.type, m.zone, m.spot)) {
-                rooms[index(members, m.owner)] += m.use.room(type, job);
-            }
-        }
         for (JobEntry other : replica.jobs()) {
             if (other.job() == null || other.aborted() || other.job().priority().compareTo(job.priority()) < 0) {
                 continue;
@@ -68,8 +85,13 @@
             for (SliceEntry s : other.slices()) {
                 int left = s.value().waiting();
                 if (left > 0) {
-                    waiting[index(members, Parts.owner(replica.map(), s.key, s.value()))] +=
-                            left * other.job().cpus() / Math.max(0.001, job.cpus());
+                    int part = index(members, Parts.owner(replica.map(), s.key, s.value()));
+                    if (rooms[part] > 0) {
+                        // What waits there takes no more than it can use, by its shape, zone and team.
+                        int takes = Math.min(left, Math.min(rooms(other.job(), other.shape())[part],
+                                quota.room(other.job(), members.get(part).name())));
+                        waiting[part] += Math.max(0, takes) * other.job().cpus() / Math.max(0.001, job.cpus());
+                    }
                 }
             }
         }
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -1,7 +1,9 @@
 package dewlane.core;
 
+import dewlane.core.Machine.Live;
 import dewlane.core.Value.MachineFate;
 import dewlane.core.Value.MachineRecord;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +15,12 @@
     /** As many as the cloud deletes at once. */
     private static final int MOST_AT_ONCE = 100;
 
+    /** Parts of {@code cancel_s} after which a silent machine with a cancelled task is condemned, and is deleted outright. */
+    private static final double CONDEMN = 0.3;
+    private static final double DELETE = 0.45;
+    /** The same where no record can be written: whoever knows of the cancellation may not be there for long. */
+    private static final double DELETE_WITHOUT_STATE = 0.2;
+    private static final long DELETE_AGAIN_MS = 5000;
     /** A pause between two ticks, which come every second, that only a process that stood still has. */
     private static final long STOOD_STILL_MS = 3000;
 
@@ -21,18 +29,22 @@
     private final Machines machines;
     private final Membership membership;
     private final Journaller journaller;
+    private final Cancellations cancellations;
     private final Set<String> asking = new HashSet<>();
     private long incarnation;
     private long records;
     private long tickedAt;
+    private long endedAt = Long.MIN_VALUE / 2;
     private long mostSilentAt = Long.MIN_VALUE / 2;
 
-    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller) {
+    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+           Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
         this.journaller = journaller;
+        this.cancellations = cancellations;
     }
 
     void tick() {
@@ -42,7 +54,11 @@
             machines.all().forEach(m -> m.since = context.now());
         }
         tickedAt = context.now();
-        if (!membership.joined() || membership.silence() > 2000) {
+        if (!membership.joined()) {
+            return;
+        }
+        endCancelled();
+        if (membership.silence() > 2000) {
             return;
         }
         if (membership.incarnation() != incarnation) {
@@ -95,8 +111,38 @@
         return m.heardAt != 0 && !m.returned || !m.live.isEmpty();
     }
 
-    private boolean cancelledLong(Machine.Live l) {
-        return l.job.aborted() && context.wall() - l.job.abortedMs() > context.settings().cancelS() * 300;
+    private boolean cancelledLong(Live l) {
+        return cancelledFor(l, CONDEMN);
+    }
+
+    private boolean cancelledFor(Live l, double share) {
+        return !l.over && cancellations.cancelledForMs(l.job) > context.settings().cancelS() * 1000 * share;
+    }
+
+    /**
+     * A machine that hangs, or does not hear, keeps a cancelled task past its time, also while the state service is out for
+     * all or refuses the leader. Its deletion by the cloud needs no record: the machine then is as silent as before, the
+     * record and the proof follow once they can be written, and a name that was deleted already is ignored.
+     */
+    private void endCancelled() {
+        if (context.now() - endedAt < DELETE_AGAIN_MS) {
+            return;
+        }
+        // There is less time left than for others: one that missed its reports is as good as silent.
+        long patience = context.settings().heardMs();
+        double share = membership.silence() > 2000 ? DELETE_WITHOUT_STATE : DELETE;
+        List<String> late = new ArrayList<>();
+        for (Machine m : machines.own()) {
+            if (silentFor(m) > patience && late.size() < MOST_AT_ONCE
+                    && m.live.values().stream().anyMatch(l -> cancelledFor(l, share))) {
+                late.add(m.name);
+            }
+        }
+        if (!late.isEmpty()) {
+            endedAt = context.now();
+            context.info("deleting at once, as they are silent with cancelled tasks: " + late);
+            context.emit(new Effect.Delete(late));
+        }
     }
 
     private long silentFor(Machine m) {
--- /dev/null
+++ b/src/main/java/dewlane/core/Lending.java
@@ -0,0 +1,86 @@
+package dewlane.core;
+
+import dewlane.core.Replica.JobEntry;
+import dewlane.core.Replica.SliceEntry;
+import dewlane.core.Value.Member;
+import java.util.List;
+
+/**
+ * Lends what this controller does not use of its share of a team's limit to one whose part has room for work that waits,
+ * but whose own share is used up. Without it such work waits while its team is under its limit: seen in the random
+ * runs, where one controller had the only machine that fits.
+ *
+ * <p>The shares stand in the map, which every launch is conditional on, so all controllers change them at the same revision.
+ */
+final class Lending {
+    /** So long a job waits before the shares are changed for it, and so long they then stay as they are. */
+    private static final long WAIT_MS = 15_000;
+    private static final long PAUSE_MS = 8000;
+
+    private final Context context;
+    private final Replica replica;
+    private final Membership membership;
+    private final Quota quota;
+    private final Dealer dealer;
+    private long lentAt = Long.MIN_VALUE / 2;
+
+    Lending(Context context, Replica replica, Membership membership, Quota quota, Dealer dealer) {
+        this.context = context;
+        this.replica = replica;
+        this.membership = membership;
+        this.quota = quota;
+        this.dealer = dealer;
+    }
+
+    void tick() {
+        if (!membership.joined() || membership.silence() > 2000 || context.now() - lentAt < PAUSE_MS) {
+            return;
+        }
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && !job.aborted() && context.wall() - job.job().acceptedMs() > WAIT_MS
+                    && quota.divides(job.job()) && waiting(job) > 0 && quota.spare(job.job()) && lendFor(job)) {
+                lentAt = context.now();
+                return;
+            }
+        }
+    }
+
+    private static int waiting(JobEntry job) {
+        int n = 0;
+        for (SliceEntry s : job.slices()) {
+            n += s.value().waiting();
+        }
+        return n;
+    }
+
+    private boolean lendFor(JobEntry job) {
+        Job spec = job.job();
+        String self = context.settings().node();
+        List<Member> members = replica.map().members();
+        int[] rooms = dealer.rooms(spec, job.shape());
+        int mine = quota.room(spec, self);
+        for (int i = 0; i < rooms.length; i++) {
+            if (members.get(i).name().equals(self) && rooms[i] > 0 && mine > 0) {
+                // The job finds its room here.
+                return false;
+            }
+        }
+        double cpus = quota.spareCpus(spec, self);
+        double gpus = quota.spareGpus(spec, self);
+        for (int i = 0; i < rooms.length; i++) {
+            String other = members.get(i).name();
+            if (!other.equals(self) && rooms[i] > 0 && quota.room(spec, other) <= 0) {
+                int tasks = Math.min(Math.max(1, mine / 2), Math.min(rooms[i], waiting(job)));
+                double lentCpus = Math.min(cpus, tasks * spec.cpus() - quota.spareCpus(spec, other));
+                double lentGpus = Math.min(gpus, tasks * spec.gpus() - quota.spareGpus(spec, other));
+                if (lentCpus > 0 || lentGpus > 0) {
+                    context.info("lending " + other + " " + lentCpus + " CPUs and " + lentGpus + " GPUs of the limit of "
+                            + spec.team() + " for " + job.id);
+                    membership.lend(spec.team(), other, Math.max(0, lentCpus), Math.max(0, lentGpus));
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -63,6 +63,8 @@
     long seal;
     /** When the machine last proved that it hears this controller, not only that it is heard; 0: never. */
     long heardAt;
+    /** When a report of its own came last, not an answer to a command. */
+    long reportedAt;
     /** Since when it is in doubt whether answers and commands reach the machine; 0: not. */
     long doubtSince;
     /** A report with this token ends the doubt: it was handed out after the doubt began. */
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -172,10 +172,15 @@
                 settling.add(job.id);
             }
         } else if (d.after() != null && d.after().aborted()) {
-            job.slices().forEach(s -> s.value().attempts().forEach(a -> touch(of(a.machine()))));
+            touchAll(job);
         }
     }
 
+    /** There may be something to command wherever the job has attempts. */
+    void touchAll(JobEntry job) {
+        job.slices().forEach(s -> s.value().attempts().forEach(a -> touch(of(a.machine()))));
+    }
+
     private void shapeCounts(Job.Shape shape, int by) {
         int n = shapes.addTo(shape, by) + by;
         if (n == 0) {
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -1,6 +1,7 @@
 package dewlane.core;
 
 import dewlane.core.Value.ClusterMap;
+import dewlane.core.Value.Loan;
 import dewlane.core.Value.Member;
 import dewlane.core.Value.Presence;
 import java.util.ArrayList;
@@ -33,6 +34,8 @@
     private final String self;
     private final Map<String, Long> missingSince = new HashMap<>();
     private final Set<String> claims = new HashSet<>();
+    /** What is to be lent with the next map: a share's change for this controller and its opposite for another. */
+    private final List<Loan> lending = new ArrayList<>();
     private long lease;
     private boolean leaseAsked;
     private long touchedAt;
@@ -139,6 +142,9 @@
                 if (!writing) {
                     takeOver();
                 }
+                if (!writing && !lending.isEmpty()) {
+                    writeLoans();
+                }
             }
         }
     }
@@ -191,6 +197,27 @@
         claims.add(machine);
     }
 
+    /** Lends another controller some of this one's share of a team's limit; the map says so as soon as it can be written. */
+    void lend(String team, String to, double cpus, double gpus) {
+        lending.add(new Loan(team, to, cpus, gpus));
+        lending.add(new Loan(team, self, -cpus, -gpus));
+    }
+
+    private void writeLoans() {
+        ClusterMap map = replica.map();
+        List<Loan> loans = new ArrayList<>(map.loans());
+        // One that has left in the meantime would take its loan with it.
+        boolean there = lending.stream().allMatch(l -> map.has(l.node()));
+        for (Loan l : there ? lending : List.<Loan>of()) {
+            Loan had = loans.stream().filter(o -> o.team().equals(l.team()) && o.node().equals(l.node())).findFirst().orElse(null);
+            loans.remove(had);
+            loans.add(had == null ? l : new Loan(l.team(), l.node(), had.cpus() + l.cpus(), had.gpus() + l.gpus()));
+        }
+        lending.clear();
+        write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
+                .set(Keys.MAP, new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans))).build(), joinedAs);
+    }
+
     private void takeOver() {
         ClusterMap map = replica.map();
         claims.removeIf(m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
@@ -215,7 +242,9 @@
                 }
             });
         }
-        return new ClusterMap(epoch, List.copyOf(members), Map.copyOf(moved));
+        // Shares are of as many controllers as there are.
+        boolean same = replica.map() != null && members.equals(replica.map().members());
+        return new ClusterMap(epoch, List.copyOf(members), Map.copyOf(moved), same ? replica.map().loans() : List.of());
     }
 
     private void write(Txn txn, long incarnation) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -56,6 +56,7 @@
     private final Release release;
     private final Quota quota;
     private final Dealer dealer;
+    private final Cancellations cancellations;
     private final Counters counters;
     private final Preemption preemption;
     private final String self;
@@ -67,7 +68,7 @@
     private final Set<Job.Shape> full = new HashSet<>();
 
     Placement(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
-              Release release, Quota quota, Dealer dealer, Counters counters) {
+              Release release, Quota quota, Dealer dealer, Cancellations cancellations, Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -76,6 +77,7 @@
         this.release = release;
         this.quota = quota;
         this.dealer = dealer;
+        this.cancellations = cancellations;
         this.counters = counters;
         this.preemption = new Preemption(context, machines, quota);
         this.self = context.settings().node();
@@ -85,10 +87,18 @@
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
         return m.type != null && machines.type(m) != null && m.takenAt == 0 && m.doubtSince == 0
-                && m.heardWithin(context.now(), context.settings().heardMs())
+                && m.heardWithin(context.now(), context.settings().heardMs()) && reports(m)
                 && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
     }
 
+    /**
+     * A machine that answers commands but whose reports do not come loses all its tasks when its lease ends. One that has
+     * just got this owner has some time to find it.
+     */
+    private boolean reports(Machine m) {
+        return context.now() - Math.max(m.reportedAt, m.ownerSince) < context.settings().leaseS() * 500;
+    }
+
     /** Machines of this part that take tasks, as of the latest pass. */
     List<Machine> usable() {
         return usable;
@@ -217,7 +227,7 @@
             }
             finish(job, txn);
         } else {
-            if (!job.aborted() && launches && context.now() >= work.notBefore && journaller.open(Journaller.Urgency.LAUNCH)) {
+            if (!cancellations.ended(job) && launches && context.now() >= work.notBefore && journaller.open(Journaller.Urgency.LAUNCH)) {
                 decided = launch(job, work, next, txn, launched, room);
             }
             if (decided || !mayGather(job.job(), work, next)) {
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -15,7 +15,7 @@
  * has the version that the replica shows, no launch for the team is missing from the replica, so the use counted there,
  * which holds every attempt that is not proven gone, is an upper bound.
  *
- * <p>Of a large limit each controller of the map has an equal share and needs no key: what is on machines counts against
+ * <p>Of a large limit each controller of the map has a share, an equal one at first (see {@link Lending}), and needs no key: what is on machines counts against
  * the owner of its slice, who alone launches there, so a controller knows its own use. Another may come to own more than
  * its share when a controller leaves; it then starts nothing, and the others keep that much of theirs free.
  */
@@ -47,6 +47,28 @@
         return (team.cpusMax() <= 0 || team.cpusMax() / n >= least) && (team.gpusMax() <= 0 || team.gpusMax() / n >= least / 4);
     }
 
+    /** True if the controllers have shares of the team's limit. */
+    boolean divides(Job job) {
+        return limited(job) && shared(team(job));
+    }
+
+    /** A controller's share: an equal one, but for what was lent. */
+    private double cpusShare(Settings.Team team, String node) {
+        double share = team.cpusMax() / replica.map().members().size();
+        for (Value.Loan l : replica.map().loans()) {
+            share += l.team().equals(team.name()) && l.node().equals(node) ? l.cpus() : 0;
+        }
+        return share;
+    }
+
+    private double gpusShare(Settings.Team team, String node) {
+        double share = team.gpusMax() / replica.map().members().size();
+        for (Value.Loan l : replica.map().loans()) {
+            share += l.team().equals(team.name()) && l.node().equals(node) ? l.gpus() : 0;
+        }
+        return share;
+    }
+
     /** True if the team's limit is lent launch by launch. */
     boolean lends(Job job) {
         return limited(job) && !shared(team(job));
@@ -66,14 +88,13 @@
     }
 
     private int roomInShare(Settings.Team team, Job job) {
-        int n = replica.map().members().size();
         double othersCpus = 0;
         double othersGpus = 0;
         for (Value.Member member : replica.map().members()) {
             if (!member.name().equals(settings.node())) {
                 Use use = machines.use(job.team(), member.name());
-                othersCpus += Math.max(use.cpus(), team.cpusMax() / n);
-                othersGpus += Math.max(use.gpus(), team.gpusMax() / n);
+                othersCpus += Math.max(use.cpus(), cpusShare(team, member.name()));
+                othersGpus += Math.max(use.gpus(), gpusShare(team, member.name()));
             }
         }
         return room(team, job, settings.node(), team.cpusMax() - othersCpus, team.gpusMax() - othersGpus);
@@ -87,9 +108,17 @@
     /** How many tasks of the job a controller has room for in its share of the team's limit, where it has one. */
     int room(Job job, String node) {
         Settings.Team team = team(job);
-        int n = replica.map().members().size();
         return !limited(job) || !shared(team) ? Integer.MAX_VALUE
-                : room(team, job, node, team.cpusMax() / n, team.gpusMax() / n);
+                : room(team, job, node, cpusShare(team, node), gpusShare(team, node));
+    }
+
+    /** What a controller leaves of its share of the team's CPUs; less than nothing if it has inherited too much. */
+    double spareCpus(Job job, String node) {
+        return cpusShare(team(job), node) - machines.use(job.team(), node).cpus();
+    }
+
+    double spareGpus(Job job, String node) {
+        return gpusShare(team(job), node) - machines.use(job.team(), node).gpus();
     }
 
     /** True if the team as a whole has room for more, though perhaps not in this controller's share. */
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -19,17 +19,19 @@
     private final Membership membership;
     private final Journaller journaller;
     private final Dealer dealer;
+    private final Cancellations cancellations;
     private final Long2ObjectOpenHashMap<Consumer<Input.ValueRead>> reads = new Long2ObjectOpenHashMap<>();
     private long nextRead = 1;
 
     Users(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
-          Dealer dealer) {
+          Dealer dealer, Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
         this.journaller = journaller;
         this.dealer = dealer;
+        this.cancellations = cancellations;
     }
 
     void submit(Input.Submit in) {
@@ -121,12 +123,15 @@
 
     private void cancel(Input.Abort in, JobRecord record, long version) {
         Job job = record.job();
+        FinalRecord fin = new FinalRecord(true, context.wall());
         Txn txn = new Txn.Builder().when(Keys.job(job.id()), version)
                 .set(Keys.job(job.id()), new JobRecord(job, record.deals(), context.wall()))
-                .set(Keys.fin(job.id()), new FinalRecord(true, context.wall())).build();
+                .set(Keys.fin(job.id()), fin).build();
         journaller.submit(Journaller.Urgency.SAFETY, txn, (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 context.info("job " + job.id() + " cancelled");
+                cancellations.confirmed(job.id());
+                replica.rememberFinal(job.id(), fin);
                 answer(in.id(), 200, new JobState(job.id(), Condition.ABORTED, 0, 0), null);
             } else {
                 // Done, or cancelled by another request or an earlier copy of this one: read which.
@@ -150,6 +155,9 @@
                 lookUpFinal(id, job, unknown);
             } else if (((JobRecord) read.value()).aborted()) {
                 answer(id, 200, new JobState(job, Condition.ABORTED, 0, 0), null);
+            } else if (replica.fin(job) != null) {
+                // The read was answered late, and in the meantime somebody may have been told the final state.
+                answerFinal(id, job, replica.fin(job));
             } else {
                 answer(id, 200, active(job), null);
             }
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -73,8 +73,13 @@
      * The live controllers. Each change has a higher epoch.
      *
      * @param moved machines that could not reach the controller of their part, and the one that took them over
+     * @param loans by how much shares of teams' limits differ from equal ones; those of a team add up to nothing
      */
-    record ClusterMap(long epoch, List<Member> members, Map<String, String> moved) implements Value {
+    record ClusterMap(long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans) implements Value {
+        public ClusterMap(long epoch, List<Member> members, Map<String, String> moved) {
+            this(epoch, members, moved, List.of());
+        }
+
         public boolean has(String name) {
             return incarnation(name) != 0;
         }
@@ -90,6 +95,9 @@
         }
     }
 
+    /** What a controller's share of a team's limit has beyond an equal one, or less if it is negative. */
+    record Loan(String team, String node, double cpus, double gpus) { }
+
     /** A controller and the epoch at which it joined. */
     record Member(String name, long incarnation) { }
 
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -20,7 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final int PAGE = 200;
     private static final long CALL_MS = 1500;
-    private static final long WATCH_MS = 3000;
+    private static final long WATCH_MS = 800;
     /** Gathers changes that come close together into one answer of the watch; at least so long. */
     private static final long WATCH_PAUSE_MS = 60;
     /** The part of the requests that all controllers' watches together may take. */
--- a/src/main/java/dewlane/wire/PeerWire.java
+++ b/src/main/java/dewlane/wire/PeerWire.java
@@ -18,6 +18,10 @@
     public static byte[] status(PeerStatus s) throws IOException {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             out.packString(s.node()).packLong(s.epoch()).packBoolean(s.stateReachable());
+            out.packArrayHeader(s.cancelled().size());
+            for (String job : s.cancelled()) {
+                out.packString(job);
+            }
             out.packArrayHeader(s.machines().size());
             for (PeerMachine m : s.machines()) {
                 out.packString(m.name()).packString(m.address()).packString(m.type()).packString(m.zone())
@@ -32,13 +36,18 @@
             String node = in.unpackString();
             long epoch = in.unpackLong();
             boolean reachable = in.unpackBoolean();
+            int jobs = in.unpackArrayHeader();
+            List<String> cancelled = new ArrayList<>();
+            for (int i = 0; i < jobs; i++) {
+                cancelled.add(in.unpackString());
+            }
             int n = in.unpackArrayHeader();
             List<PeerMachine> machines = new ArrayList<>();
             for (int i = 0; i < n; i++) {
                 machines.add(new PeerMachine(in.unpackString(), in.unpackString(), in.unpackString(),
                         in.unpackString(), in.unpackBoolean(), in.unpackLong(), in.unpackLong()));
             }
-            return new PeerStatus(node, epoch, reachable, machines);
+            return new PeerStatus(node, epoch, reachable, cancelled, machines);
         }
     }
 }
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -160,6 +160,16 @@
                 out.writeStringField(e.getKey(), e.getValue());
             }
             out.writeEndObject();
+            if (!v.loans().isEmpty()) {
+                out.writeArrayFieldStart("loans");
+                for (Value.Loan l : v.loans()) {
+                    out.writeString(l.team());
+                    out.writeString(l.node());
+                    out.writeNumber(l.cpus());
+                    out.writeNumber(l.gpus());
+                }
+                out.writeEndArray();
+            }
         } else if (value instanceof Value.Presence v) {
             out.writeNumberField("incarnation", v.incarnation());
         } else if (value instanceof Value.TeamRecord v) {
@@ -296,7 +306,8 @@
                 members.sort((a, b) -> a.name().compareTo(b.name()));
                 Map<String, String> moved = new HashMap<>();
                 Json.object(in.get("moved")).forEach((machine, taker) -> moved.put(machine, (String) taker));
-                return new Value.ClusterMap(Json.whole(in, "epoch"), List.copyOf(members), Map.copyOf(moved));
+                return new Value.ClusterMap(Json.whole(in, "epoch"), List.copyOf(members), Map.copyOf(moved),
+                        loans(Json.list(in, "loans")));
             }
         } catch (IllegalArgumentException | NullPointerException | ClassCastException e) {
             throw new IOException("unreadable value of " + key, e);
@@ -312,6 +323,15 @@
         return List.copyOf(deals);
     }
 
+    private static List<Value.Loan> loans(List<?> in) {
+        List<Value.Loan> loans = new ArrayList<>();
+        for (int i = 0; i < in.size(); i += 4) {
+            loans.add(new Value.Loan((String) in.get(i), (String) in.get(i + 1), ((Number) in.get(i + 2)).doubleValue(),
+                    ((Number) in.get(i + 3)).doubleValue()));
+        }
+        return List.copyOf(loans);
+    }
+
     private static Job job(Map<String, Object> in) {
         return new Job(Json.string(in, "id"), Json.string(in, "lot"), Json.string(in, "team"),
                 Priority.valueOf(Json.string(in, "priority")), (int) Json.whole(in, "tasks"),
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -162,7 +162,7 @@
         assertTrue(controller.healthy());
         hear(6000, new Input.Tick());
         assertTrue(controller.healthy(), "in an outage for all, no other would serve better");
-        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, true, List.of())));
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, true, List.of(), List.of())));
         assertFalse(controller.healthy());
     }
 
@@ -170,7 +170,10 @@
     void aControllerWithoutWordFromTheStateServiceLetsItsWorkersLeasesRunOut() {
         hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
         assertEquals(1, take(Effect.AnswerReport.class).size());
-        hear(21_000, new Input.ReportReceived(2, report(1, 2, 0)));
+        hear(28_000, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+        hear(0, new Input.ReportReceived(2, report(1, 2, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size(), "what it renews still ends in time");
+        hear(1000, new Input.ReportReceived(3, report(1, 3, 0)));
         assertEquals(1, take(Effect.RefuseReport.class).size(), "a cancellation may have been missed");
     }
 
@@ -205,7 +208,7 @@
         assertEquals(1, take(Effect.AnswerReport.class).size());
         hear(6000, new Input.ReportReceived(2, report(1, 2, 0)));
         assertEquals(1, take(Effect.RefuseReport.class).size());
-        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of())));
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
         hear(10, new Input.ReportReceived(3, report(1, 3, 0)));
         assertEquals(1, take(Effect.AnswerReport.class).size(), "its peers do not reach the state service either");
     }
--- a/src/test/java/dewlane/sim/Checker.java
+++ b/src/test/java/dewlane/sim/Checker.java
@@ -5,6 +5,7 @@
 import dewlane.core.Settings;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -27,7 +28,14 @@
     private final Map<String, Long> finalsAt = new HashMap<>();
     private final Set<String> asked = new HashSet<>();
     private final Map<String, Condition> last = new HashMap<>();
+    /** By job and machine, since when the job waits while that machine has room for it. */
+    private final Map<String, Map<String, Long>> waitsBeside = new HashMap<>();
     int starts;
+    /** Starts after their job's cancellation was confirmed, by launches that were on their way by then. */
+    int startsInFlight;
+    /** A launch sent longer after a confirmation than a controller's view may lag is one it should not have sent. */
+    private static final long VIEW_MS = 3000;
+    private static final long MOST_WAIT_MS = 90_000;
 
     Checker(World world) {
         this.world = world;
@@ -50,8 +58,19 @@
         asked.add(job);
     }
 
+    boolean allTasksDone(String job) {
+        return done.getOrDefault(job, Set.of()).size() == world.users.job(job).tasks();
+    }
+
     void started(SimWorker on, SimWorker.Task task) {
         starts++;
+        if (finals.get(task.job) == Condition.ABORTED) {
+            startsInFlight++;
+            if (task.orderedAt - finalsAt.get(task.job) > VIEW_MS) {
+                broken("started_cancelled", task.job + "/" + task.number + " on " + on.name + ", launched "
+                        + (task.orderedAt - finalsAt.get(task.job)) + " ms after its cancellation was confirmed");
+            }
+        }
         Job job = world.users.job(task.job);
         String name = task.job + "/" + task.number;
         int sameZone = 0;
@@ -106,6 +125,48 @@
         }
     }
 
+    /**
+     * From now on, with all troubles over, no job waits for 90 s while a machine that fits has room and its team is under
+     * its limit. Jobs that are bound to places by their other tasks are left out.
+     */
+    void watchWaiting() {
+        world.every(1000, () -> {
+            for (String id : world.users.accepted()) {
+                Job job = world.users.job(id);
+                boolean waits = !world.users.isOver(id) && !job.placesLinked() && waits(job) && underLimit(job);
+                Map<String, Long> beside = waitsBeside.computeIfAbsent(id, k -> new HashMap<>());
+                beside.keySet().removeIf(name -> !waits || !world.cloud.machines.containsKey(name));
+                for (SimWorker m : waits ? world.cloud.machines.values() : List.<SimWorker>of()) {
+                    if (!m.hasRoom(job)) {
+                        beside.remove(m.name);
+                    } else if (world.now() - beside.computeIfAbsent(m.name, k -> world.now()) > MOST_WAIT_MS) {
+                        broken("left_waiting", id + " waits beside room on " + m.name + " of " + dewlane.core.Parts.owner((dewlane.core.Value.ClusterMap) world.state.get(dewlane.core.Keys.MAP), m.name) + "\n" + world.lately(m.name) + world.describe(id));
+                    }
+                }
+            }
+        });
+    }
+
+    private boolean waits(Job job) {
+        long held = done.getOrDefault(job.id(), Set.of()).size();
+        for (SimWorker m : world.cloud.machines.values()) {
+            held += m.tasks.values().stream().filter(t -> t.job.equals(job.id()) && t.phase != dewlane.core.Report.Phase.EXITED).count();
+        }
+        return held < job.tasks();
+    }
+
+    private boolean underLimit(Job job) {
+        double used = job.cpus();
+        for (SimWorker m : world.cloud.machines.values()) {
+            for (SimWorker.Task t : m.tasks.values()) {
+                Job other = world.users.job(t.job);
+                used += t.phase != dewlane.core.Report.Phase.EXITED && other.team().equals(job.team()) ? other.cpus() : 0;
+            }
+        }
+        double most = world.settings.teams().get(job.team()).cpusMax();
+        return most <= 0 || used <= most + 1e-9;
+    }
+
     Condition lastTold(String job) {
         return last.get(job);
     }
@@ -119,7 +180,7 @@
             for (SimWorker.Task t : m.tasks.values()) {
                 if (t.on() && finals.get(t.job) == Condition.ABORTED
                         && world.now() - finalsAt.get(t.job) > world.settings.cancelS() * 1000) {
-                    broken("ran_cancelled", t.job + "/" + t.number + " on " + m.name);
+                    broken("ran_cancelled", t.job + "/" + t.number + " on " + m.name + "\n" + world.lately(m.name) + world.lately("strike"));
                 }
             }
         }
--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -50,6 +50,7 @@
             }
         });
         world.every(400, world.users::pollSome);
+        world.every(3000, world.users::oddRequest);
         world.every(5000, () -> {
             if (world.now() < STORM_MS) {
                 // Two at once, as troubles are seldom alone.
@@ -60,7 +61,11 @@
         world.run(STORM_MS);
         world.trouble = 0;
         world.state.slowMs = 0;
+        world.state.lateWrites = 0;
+        world.users.cancelAtEnd = 0;
         world.users.askAboutAll();
+        // What hangs or is cut off at the end of the storm does so for up to a minute more.
+        world.after(60_000, world.checker::watchWaiting);
         world.run(CALM_MS);
         return world;
     }
@@ -70,7 +75,9 @@
         SimNode node = nodes.get(world.random.nextInt(nodes.size()));
         List<SimWorker> machines = world.cloud.machines.values().stream().filter(m -> !m.gone && m.up).toList();
         SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
-        switch (world.random.nextInt(29)) {
+        int which = world.random.nextInt(39);
+        world.trace("strike " + which + " " + node.name + " " + (machine == null ? "" : machine.name));
+        switch (which) {
             case 0, 1 -> crash(world, node, world.between(100, 9000));
             case 2 -> nodes.forEach(n -> crash(world, n, world.between(100, 6000)));
             case 3 -> {
@@ -97,9 +104,7 @@
                 }
             }
             case 10, 11 -> {
-                if (machine != null) {
-                    machine.hangsUntil = world.now() + world.between(2000, 40_000);
-                }
+                hang(world, machine, world.between(2000, 40_000));
             }
             case 12, 13 -> {
                 if (machine != null) {
@@ -163,7 +168,7 @@
                     if (m.zone.equals(zone) && world.chance(0.5)) {
                         switch (how) {
                             case 0 -> m.vanish();
-                            case 1 -> m.hangsUntil = world.now() + world.between(5000, 40_000);
+                            case 1 -> hang(world, m, world.between(5000, 40_000));
                             default -> {
                                 m.cut = true;
                                 world.after(world.between(5000, 40_000), () -> m.cut = false);
@@ -176,6 +181,41 @@
                 nodes.forEach(n -> n.cutFromPeers = true);
                 world.after(world.between(2000, 30_000), () -> nodes.forEach(n -> n.cutFromPeers = false));
             }
+            case 28, 29 -> {
+                world.state.lateWrites = 0.3;
+                world.after(world.between(5000, 25_000), () -> world.state.lateWrites = 0);
+            }
+            case 30, 31 -> {
+                if (machine != null) {
+                    machine.mute = true;
+                    world.after(world.between(5000, 50_000), () -> machine.mute = false);
+                }
+            }
+            case 32, 33 -> {
+                // Called off at once, and some of their machines hang.
+                for (String id : world.users.cancelSome(3)) {
+                    machines.stream().filter(m -> m.running(id) > 0).findAny()
+                            .ifPresent(m -> hang(world, m, world.between(5000, 40_000)));
+                }
+            }
+            case 34 -> {
+                world.users.cancelAtEnd = 0.5;
+                world.after(20_000, () -> world.users.cancelAtEnd = 0);
+            }
+            case 35 -> {
+                // The gap: one alone is refused, others confirm cancellations, then it is out for all for longer than cancel_s.
+                SimNode leader = leader(world, node);
+                world.state.refused.add(leader.name);
+                world.after(world.between(100, 1500), () -> world.users.cancelSome(3));
+                world.after(2000, () -> world.state.outage((long) (world.settings.cancelS() * 1000) + world.between(2000, 12_000)));
+                world.after(14_000, () -> world.state.refused.remove(leader.name));
+            }
+            case 36 -> {
+                for (int i = 0; i < 8; i++) {
+                    world.after(i * 4000L, () -> crash(world, leader(world, node), world.between(200, 5000)));
+                }
+            }
+            case 37 -> nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
             default -> {
                 world.trouble = 0.2;
                 world.after(5000, () -> world.trouble = world.now() < STORM_MS ? 0.02 : 0);
@@ -183,6 +223,22 @@
         }
     }
 
+    /**
+     * A machine hangs once, for less than a cancellation has: with one that hung for longer, all controllers gone and the state
+     * service out, nobody would be left who could know what to end. ScenarioTest and MeetingsTest have longer ones.
+     */
+    private static void hang(World world, SimWorker machine, int ms) {
+        if (machine != null && machine.hangsUntil == 0) {
+            machine.hangsUntil = world.now() + ms;
+        }
+    }
+
+    /** The controller that leads the fleet, or another if there is none. */
+    static SimNode leader(World world, SimNode other) {
+        String name = dewlane.core.Parts.leader((dewlane.core.Value.ClusterMap) world.state.get(Keys.MAP));
+        return name == null ? other : world.nodes.get(name);
+    }
+
     private static void crash(World world, SimNode node, long backAfterMs) {
         if (node.alive) {
             node.crash(backAfterMs);
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -103,6 +103,7 @@
             return;
         }
         int of = node.life;
+        long sentAt = world.now();
         boolean[] heard = {false};
         world.after(2500, () -> {
             if (!heard[0]) {
@@ -118,6 +119,6 @@
                 heard[0] = true;
                 node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), launches, m.report()));
             }
-        }), () -> m.command(e)));
+        }), () -> m.command(e, sentAt)));
     }
 }
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -164,6 +164,10 @@
         ask(id -> new Input.Submit(id, job.id(), job, null), then);
     }
 
+    void submitMalformed(String uid, Consumer<Effect.AnswerUser> then) {
+        ask(id -> new Input.Submit(id, uid, null, "a field is missing"), then);
+    }
+
     void poll(String job, Consumer<Effect.AnswerUser> then) {
         ask(id -> new Input.Poll(id, job), then);
     }
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -17,7 +17,11 @@
 final class SimState {
     private record Held(Value value, long version, long lease) { }
 
-    private record Watch(SimNode node, int life, long since) { }
+    private record Watch(SimNode node, int life, long since, long openedAt) { }
+
+    /** How long a watch blocks without a change, and how long its caller waits for it in all. */
+    private static final long BLOCK_MS = 1000;
+    private static final long WATCH_TIMEOUT_MS = 2500;
 
     private final World world;
     private final TreeMap<String, Held> keys = new TreeMap<>();
@@ -28,6 +32,8 @@
     boolean out;
     /** How long an answer takes at most beyond the usual. */
     int slowMs;
+    /** The share of transactions that get no answer and are carried out seconds later, after newer ones. */
+    double lateWrites;
     /** Puts and deletes so far but of machines' records, and the longest value and transaction, in bytes. */
     long changes;
     int longestValue;
@@ -84,8 +90,15 @@
         int life = node.life;
         world.after(60, () -> {
             if (node.life == life) {
-                watches.add(new Watch(node, life, since));
+                Watch watch = new Watch(node, life, since, world.now());
+                watches.add(watch);
                 notifyWatches();
+                world.after(BLOCK_MS, this::notifyWatches);
+                world.after(WATCH_TIMEOUT_MS, () -> {
+                    if (watches.remove(watch)) {
+                        node.hear(life, new Input.WatchFailed(false));
+                    }
+                });
             }
         });
     }
@@ -99,7 +112,8 @@
             if (w.node.life != w.life) {
                 continue;
             }
-            if (refused.contains(w.node.name) || !w.node.stateReachable() || w.since >= revision) {
+            boolean blocks = w.since >= revision && world.now() - w.openedAt < BLOCK_MS;
+            if (refused.contains(w.node.name) || !w.node.stateReachable() || blocks) {
                 left.add(w);
                 continue;
             }
@@ -112,6 +126,16 @@
     }
 
     void txn(SimNode node, long id, Txn txn) {
+        if (lateWrites > 0 && world.chance(lateWrites) && node.stateReachable()) {
+            int of = node.life;
+            world.after(world.between(2000, 12_000), () -> {
+                if (!out) {
+                    apply(id, txn);
+                }
+            });
+            world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0)));
+            return;
+        }
         node.callState(() -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
                 new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0), 1500);
     }
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -18,6 +18,10 @@
     /** When a question about the job was last answered. */
     private final Map<String, Long> answeredAt = new HashMap<>();
     private int next = 1;
+    /** The share of jobs that are cancelled at the moment at which their last task ends. */
+    double cancelAtEnd;
+    /** Answers to odd requests that were as they should be. */
+    int oddAnswers;
 
     SimUsers(World world) {
         this.world = world;
@@ -56,6 +60,55 @@
         abort(id, 0);
     }
 
+    /** A task has completed; with its job's last one, its user may call the job off. */
+    void ended(String job) {
+        if (cancelAtEnd > 0 && world.checker.allTasksDone(job) && world.chance(cancelAtEnd)) {
+            abort(job, 0);
+        }
+    }
+
+    /** Calls off so many jobs that have tasks on machines, each through whichever node. */
+    List<String> cancelSome(int count) {
+        List<String> chosen = accepted.stream().filter(id -> !isOver(id)
+                && world.cloud.machines.values().stream().anyMatch(m -> m.running(id) > 0)).limit(count).toList();
+        chosen.forEach(id -> world.after(world.between(0, 200), () -> abort(id, 0)));
+        return chosen;
+    }
+
+    /**
+     * What users should not send: a job that fits no machine, one that lacks a field, a submission once more, the
+     * cancellation of a job that is done.
+     */
+    void oddRequest() {
+        SimNode node = anyNode();
+        if (node == null) {
+            return;
+        }
+        String id = String.format("wk-%06d", 900_000 + next);
+        switch (world.random.nextInt(4)) {
+            case 0 -> {
+                Job huge = new Job(id, "lot", "red", Priority.HIGH, 2, 999, 0, 1, "image", 1, List.of(), null, false, false,
+                        true, 5, 0, 0, 0, 0);
+                node.submit(huge, a -> expect(a, 422, "a job that fits no machine"));
+            }
+            case 1 -> node.submitMalformed(id, a -> expect(a, 400, "a job that lacks a field"));
+            case 2 -> accepted.stream().filter(known -> !isOver(known)).findAny()
+                    .ifPresent(known -> node.submit(job(known), a -> told(known, a)));
+            default -> accepted.stream().filter(known -> world.checker.lastTold(known) == Condition.DONE).findAny()
+                    .ifPresent(known -> node.abort(known, a -> {
+                        expect(a, 200, "cancelling what is done");
+                        told(known, a);
+                    }));
+        }
+    }
+
+    private void expect(Effect.AnswerUser a, int status, String what) {
+        if (a.status() != status && a.status() != 503) {
+            world.checker.broken("accepted_odd", what + " was answered " + a);
+        }
+        oddAnswers += a.status() == status ? 1 : 0;
+    }
+
     private SimNode anyNode() {
         List<SimNode> up = world.nodes.values().stream().filter(n -> n.alive).toList();
         return up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -20,11 +20,14 @@
         final String job;
         final int number;
         final int attempt;
+        /** When the command or answer that launched it was sent. */
+        final long orderedAt;
         Phase phase = Phase.FETCHING;
         End end;
         long until;
 
-        Task(String job, int number, int attempt) {
+        Task(String job, int number, int attempt, long orderedAt) {
+            this.orderedAt = orderedAt;
             this.job = job;
             this.number = number;
             this.attempt = attempt;
@@ -47,6 +50,8 @@
     boolean cut;
     /** Its reports arrive, but answers and commands do not reach it. */
     boolean deaf;
+    /** Its reports reach no controller, while direct commands reach it. */
+    boolean mute;
     /** The one controller whose answers and commands do not reach it, or null. */
     String deafTo;
     /** Chance that a copy of a report comes late, to any controller. */
@@ -86,6 +91,21 @@
         return tasks.values().stream().filter(Task::on).count();
     }
 
+    /** Tasks of the job that count as being on the machine. */
+    long running(String job) {
+        return tasks.values().stream().filter(t -> t.on() && t.job.equals(job)).count();
+    }
+
+    /** True if it serves as it should and has room for a task of the job, by what is really on it. */
+    boolean hasRoom(dewlane.core.Job job) {
+        double cpus = job.cpus();
+        for (Task t : tasks.values()) {
+            cpus += t.phase == Phase.EXITED ? 0 : world.users.job(t.job).cpus();
+        }
+        return up && awake() && !cut && !deaf && deafTo == null && !mute && !sick && cpus <= type.cpus() + 1e-9
+                && job.allows(type.name(), zone, spot);
+    }
+
     void boot() {
         if (!gone && !up) {
             up = true;
@@ -179,6 +199,7 @@
         world.trace("exit " + t.job + "/" + t.number + " #" + t.attempt + " on " + name + " " + end);
         if (end == End.DONE) {
             world.checker.finished(t.job, t.number);
+            world.users.ended(t.job);
         }
         changed();
     }
@@ -214,7 +235,7 @@
                 elsewhere(nodes);
             }
         });
-        if (cut || node.cutFromWorkers || !node.alive) {
+        if (cut || mute || node.cutFromWorkers || !node.alive) {
             return;
         }
         if (world.trouble > 0 && world.chance(COPIES)) {
@@ -224,14 +245,17 @@
             if (!node.alive) {
                 return;
             }
-            node.report(sent, answer -> world.deliver(() -> {
+            node.report(sent, answer -> {
+                long answeredAt = world.now();
+                world.deliver(() -> {
                 if (over[0] || gone || cut || deaf || node.name.equals(deafTo) || node.cutFromWorkers || !awake()) {
                     return;
                 }
                 over[0] = true;
                 inFlight = false;
-                answered(answer, sentAt, of, nodes);
-            }));
+                answered(answer, answeredAt, sentAt, of, nodes);
+                });
+            });
         });
     }
 
@@ -250,7 +274,7 @@
         nextReport = world.now() + 1000;
     }
 
-    private void answered(SimNode.ReportAnswer answer, long sentAt, long of, List<SimNode> nodes) {
+    private void answered(SimNode.ReportAnswer answer, long answeredAt, long sentAt, long of, List<SimNode> nodes) {
         if (answer.status() == 421 && answer.node() != null && !answer.node().equals(reportTo)) {
             reportTo = answer.node();
             nextReport = world.now() + world.between(0, 500);
@@ -265,7 +289,7 @@
         }
         leaseFrom = Math.max(leaseFrom, sentAt);
         see(answer.token());
-        answer.orders().forEach(this::execute);
+        answer.orders().forEach(o -> execute(o, answeredAt));
     }
 
     private void see(long token) {
@@ -275,22 +299,22 @@
         }
     }
 
-    void command(Effect.Command e) {
+    void command(Effect.Command e, long sentAt) {
         boolean fits = e.token() >= seal || world.broken == World.Broken.WORKER_TOKEN;
         if (gone || !fits || e.session() != session) {
             return;
         }
         see(e.token());
-        e.orders().forEach(this::execute);
+        e.orders().forEach(o -> execute(o, sentAt));
     }
 
-    private void execute(Order o) {
+    private void execute(Order o, long sentAt) {
         String key = o.job() + "/" + o.task() + "#" + o.attempt();
         Task t = tasks.get(key);
         switch (o.kind()) {
             case LAUNCH -> {
                 if (t == null) {
-                    launch(o, key);
+                    launch(o, key, sentAt);
                 }
             }
             case STOP -> {
@@ -313,8 +337,8 @@
         changed();
     }
 
-    private void launch(Order o, String key) {
-        Task t = new Task(o.job(), o.task(), o.attempt());
+    private void launch(Order o, String key, long sentAt) {
+        Task t = new Task(o.job(), o.task(), o.attempt(), sentAt);
         boolean busy = tasks.values().stream().anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
         double used = 0;
         for (Task x : tasks.values()) {
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -114,7 +114,7 @@
 
     @Test
     void peersUnderstandEachOther() throws IOException {
-        PeerStatus status = new PeerStatus("n0", 9, true, List.of(new PeerStatus.PeerMachine("vm-1", "h:1", "box", "east", true, 3, 9)));
+        PeerStatus status = new PeerStatus("n0", 9, true, List.of("wk-000007"), List.of(new PeerStatus.PeerMachine("vm-1", "h:1", "box", "east", true, 3, 9)));
         assertEquals(status, PeerWire.status(PeerWire.status(status)));
     }
 }
