--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -23,22 +23,7 @@
     }
 
     private static World quietWorld(int machines, int txnOps) {
-        Settings settings = new Settings("none", List.of("n0", "n1", "n2"),
-                Map.of("blue", new Settings.Team("blue", 0, 0, 0, 0)), List.of(), List.of("east", "west"), 3, 30, 60, 150, 60,
-                16_384, txnOps, 10, 3, new Settings.Tuning(3000, 12, 300, 4, 256));
-        World world = new World(5, settings, World.Broken.NONE);
-        world.trouble = 0;
-        for (String name : List.of("n0", "n1", "n2")) {
-            SimNode node = new SimNode(world, name);
-            world.nodes.put(name, node);
-            node.start();
-        }
-        for (int i = 0; i < machines; i++) {
-            SimWorker m = world.cloud.create("small", "east", true);
-            m.boot();
-        }
-        world.run(10_000);
-        return world;
+        return World.quiet(5, Map.of("blue", new Settings.Team("blue", 0, 0, 0, 0)), txnOps, machines);
     }
 
     private static Job job(int tasks, double cpus, List<String> types, boolean spot, double estimateS) {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -34,6 +34,9 @@
     int slowMs;
     /** The share of transactions that get no answer and are carried out seconds later, after newer ones. */
     double lateWrites;
+    /** Transactions carried out late, and how many of them still changed something. */
+    int lateTried;
+    int lateApplied;
     /** Puts and deletes so far but of machines' records, and the longest value and transaction, in bytes. */
     long changes;
     int longestValue;
@@ -130,7 +133,9 @@
             int of = node.life;
             world.after(world.between(2000, 12_000), () -> {
                 if (!out) {
-                    apply(id, txn);
+                    lateTried++;
+                    Input answer = apply(id, txn);
+                    lateApplied += answer instanceof Input.TxnAnswer a && a.status() == Txn.Status.COMMITTED ? 1 : 0;
                 }
             });
             world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0)));
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -60,6 +60,23 @@
         abort(id, 0);
     }
 
+    /** Cancels through the given controller, once. */
+    void cancelAt(SimNode node, String id) {
+        world.checker.asked(id);
+        node.abort(id, a -> told(id, a));
+    }
+
+    /** Asks the given controller about a job, once. */
+    void pollAt(SimNode node, String id) {
+        long askedAt = world.now();
+        node.poll(id, a -> told(id, a, askedAt));
+    }
+
+    /** Sends a job's submission once more, to the given controller. */
+    void repeatAt(SimNode node, String id) {
+        node.submit(job(id), a -> told(id, a));
+    }
+
     /** A task has completed; with its job's last one, its user may call the job off. */
     void ended(String job) {
         if (cancelAtEnd > 0 && world.checker.allTasksDone(job) && world.chance(cancelAtEnd)) {
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -52,6 +52,10 @@
     boolean deaf;
     /** Its reports reach no controller, while direct commands reach it. */
     boolean mute;
+    /** Controllers between which and the machine nothing passes. */
+    final java.util.Set<String> cutFrom = new java.util.HashSet<>();
+    /** Reports that are held back on their way, or null if none are. */
+    private List<Report> withheld;
     /** The one controller whose answers and commands do not reach it, or null. */
     String deafTo;
     /** Chance that a copy of a report comes late, to any controller. */
@@ -96,6 +100,10 @@
         return tasks.values().stream().filter(t -> t.on() && t.job.equals(job)).count();
     }
 
+    long session() {
+        return session;
+    }
+
     /** True if it serves as it should and has room for a task of the job, by what is really on it. */
     boolean hasRoom(dewlane.core.Job job) {
         double cpus = job.cpus();
@@ -134,7 +142,7 @@
         if (gone || !up) {
             return;
         }
-        if (deaf || from.equals(deafTo)) {
+        if (deaf || from.equals(deafTo) || cutFrom.contains(from)) {
             return;
         }
         if (cut || world.now() < hangsUntil) {
@@ -235,7 +243,11 @@
                 elsewhere(nodes);
             }
         });
-        if (cut || mute || node.cutFromWorkers || !node.alive) {
+        if (withheld != null) {
+            withheld.add(sent);
+            return;
+        }
+        if (cut || mute || node.cutFromWorkers || cutFrom.contains(node.name) || !node.alive) {
             return;
         }
         if (world.trouble > 0 && world.chance(COPIES)) {
@@ -259,6 +271,19 @@
         });
     }
 
+    /** From now on its reports are held back on their way. */
+    void withholdReports() {
+        withheld = new ArrayList<>();
+    }
+
+    /** What was held back arrives, in order, at the given controller; returns how many reports that were. */
+    int releaseReports(SimNode at) {
+        List<Report> late = withheld;
+        withheld = null;
+        late.forEach(r -> copyLate(r, at, 1));
+        return late.size();
+    }
+
     /** A copy of a report that comes late; its answer reaches nobody. */
     void copyLate(Report copy, SimNode to, long afterMs) {
         world.after(afterMs, () -> {
--- a/src/test/java/dewlane/sim/World.java
+++ b/src/test/java/dewlane/sim/World.java
@@ -31,6 +31,8 @@
     private long now;
     /** Chance that a message is lost or late; 0 once the faults are over. */
     double trouble = 0.02;
+    /** How long a message takes at most beyond the usual. */
+    int slowLinksMs;
 
     World(long seed, Settings settings, Broken broken) {
         this.seed = seed;
@@ -43,6 +45,25 @@
         this.users = new SimUsers(this);
     }
 
+    /** Three controllers and small spot machines in the east that have settled, without troubles, and no idle machine goes back. */
+    static World quiet(long seed, Map<String, Settings.Team> teams, int txnOps, int machines) {
+        List<String> names = List.of("n0", "n1", "n2");
+        Settings settings = new Settings("none", names, teams, List.of(), List.of("east", "west"), 3, 30, 60, 150, 60,
+                16_384, txnOps, 10, 3, new Settings.Tuning(3000, 12, 300, 4, 256));
+        World world = new World(seed, settings, Broken.NONE);
+        world.trouble = 0;
+        for (String name : names) {
+            SimNode node = new SimNode(world, name);
+            world.nodes.put(name, node);
+            node.start();
+        }
+        for (int i = 0; i < machines; i++) {
+            world.cloud.create("small", "east", true).boot();
+        }
+        world.run(10_000);
+        return world;
+    }
+
     long now() {
         return now;
     }
@@ -100,7 +121,7 @@
             }
             return;
         }
-        after(between(1, 8), action);
+        after(between(1, 8) + (slowLinksMs == 0 ? 0 : between(slowLinksMs / 3, slowLinksMs)), action);
     }
 
     void run(long untilMs) {
