--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -33,6 +33,7 @@
     private final Fleet fleet;
     private final Users users;
     private final Lending lending;
+    private final Returns returns;
     private boolean listing;
     private long listedAt;
     /** When the watch under way, or the listing before it, was asked for: its answer shows all that was by then. */
@@ -57,6 +58,7 @@
                 cancellations, counters);
         attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
         health = new Health(context, replica, machines, membership, journaller, cancellations);
+        returns = new Returns(context, replica, machines, membership, journaller, placement);
         fleet = new Fleet(context, replica, machines, membership, journaller, placement, quota);
         users = new Users(context, replica, machines, membership, journaller, dealer, cancellations);
     }
@@ -177,6 +179,7 @@
             attempts.tick();
             fleet.tick();
             lending.tick();
+            returns.tick();
             // What peers are told costs each of them something, so the more there are, the seldomer.
             if (context.now() - toldAt >= Math.min(SLOW_MS * MOST_SLOWER, SLOW_MS * context.settings().peers().size() / 3)) {
                 toldAt = context.now();
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Value.MachineFate;
 import dewlane.core.Value.MachineRecord;
 import java.util.ArrayList;
@@ -15,19 +14,13 @@
 import java.util.Set;
 
 /**
- * The leader's care for the fleet: rents for the demand in sight, returns idle machines, deletes condemned ones and
- * records which are proven gone.
- *
- * <p>Launches are conditional on a machine having no record, so once a return is recorded and the replica has reached
- * it, nothing more can be launched there, and the machine is either idle for good or the return is called off.
+ * The leader's care for the fleet: rents for the demand in sight, deletes condemned machines and those that their partition's
+ * owner gives back (see {@link Returns}), and records which are proven gone.
  */
 final class Fleet {
     private static final long LIST_MS = 2000;
     private static final long DELETE_RETRY_MS = 6000;
     private static final long SCARCE_MS = 20_000;
-    /** Machines returned at once, and the part of the rate of changes that may go into more. */
-    private static final int RETURNS = 4;
-    private static final double RETURNS_SHARE = 0.12;
     private static final long KEEP_GONE_MS = 60_000;
     /** So long the cloud's list may still show a machine that was returned. */
     private static final long KEEP_RETURNED_MS = 30_000;
@@ -135,22 +128,18 @@
         if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000
                 || replica.map().epoch() <= replica.map().members().size()) {
             planned = true;
-            Map<JobEntry, Double> unmet = unmet();
-            rent(unmet);
-            returnIdle(unmet.isEmpty() ? 1 : 3);
+            rent(unmet());
         }
     }
 
-    private void carryOutReturn(Replica.MachineEntry entry, String name, List<String> delete) {
-        if (gone.contains(name)) {
+    private void carryOutReturn(Replica.MachineEntry entry, List<String> delete) {
+        if (gone.containsAll(entry.names())) {
             if (context.now() - goneAt.computeIfAbsent(entry.key(), k -> context.now()) > KEEP_RETURNED_MS) {
                 drop(entry);
             }
-        } else if (idle(name)) {
-            delete.add(name);
-        } else if (!deletingAt.containsKey(name)) {
-            context.debug("machine " + name + " got a task after all, not returned");
-            drop(entry);
+        } else {
+            // Nothing can have been launched there since; if ever something is there, it ends first.
+            entry.names().stream().filter(name -> !gone.contains(name) && idle(name)).forEach(delete::add);
         }
     }
 
@@ -195,7 +184,7 @@
         List<String> delete = new ArrayList<>();
         for (Replica.MachineEntry entry : replica.machineRecords()) {
             switch (entry.record().fate()) {
-                case RETURN -> carryOutReturn(entry, entry.names().get(0), delete);
+                case RETURN -> carryOutReturn(entry, delete);
                 case DELETE -> {
                     if (gone.containsAll(entry.names())) {
                         replace(entry, MachineFate.GONE, "deleted");
@@ -305,7 +294,7 @@
         Map<String, Use> more = new HashMap<>();
         List<JobEntry> jobs = new ArrayList<>();
         for (JobEntry job : replica.jobs()) {
-            if (job.job() != null && !job.aborted() && !faulty(job) && waiting(job) > 0) {
+            if (job.job() != null && !job.aborted() && !faulty(job) && job.waiting() > 0) {
                 jobs.add(job);
             }
         }
@@ -315,7 +304,7 @@
         for (JobEntry job : jobs) {
             Job spec = job.job();
             Use team = more.computeIfAbsent(spec.team(), t -> new Use(machines.use(t)));
-            int allowed = Math.min(waiting(job), quota.room(spec, team));
+            int allowed = Math.min(job.waiting(), quota.room(spec, team));
             team.add(spec, Math.max(0, allowed));
             int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
             if (left > 0) {
@@ -375,14 +364,6 @@
         return work != null && work.faulty();
     }
 
-    private static int waiting(JobEntry job) {
-        int waiting = 0;
-        for (SliceEntry s : job.slices()) {
-            waiting += s.value().waiting();
-        }
-        return waiting;
-    }
-
     private int mostOnOne(Job job) {
         return machines.types().stream().mapToInt(t -> t.fits(job)).max().orElse(1);
     }
@@ -438,34 +419,6 @@
                 || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
     }
 
-    /** Idle machines go back; the dear ones first, and ordinary ones after half the wait. */
-    private void returnIdle(int patience) {
-        long idleMs = (long) (context.settings().tuning().idleS() * 1000 * patience);
-        List<Machine> idle = new ArrayList<>();
-        for (String name : listed.keySet()) {
-            Machine m = machines.get(name);
-            if (m != null && up.contains(name) && m.live.isEmpty() && m.use.none() && !replica.machines().containsKey(name)
-                    && !writing.contains(Keys.machine(name)) && !gone.contains(name) && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
-                idle.add(m);
-            }
-        }
-        // While changes are short they are better spent on work than on returning machines.
-        if (journaller.scarce()) {
-            return;
-        }
-        idle.sort(Comparator.comparingDouble(this::price).reversed());
-        int most = Math.max(RETURNS, (int) (context.settings().stateWriteRps() * RETURNS_SHARE));
-        for (Machine m : idle.subList(0, Math.min(most, idle.size()))) {
-            context.info("returning idle machine " + m.name);
-            record(m.name, MachineFate.RETURN, "idle");
-        }
-    }
-
-    private double price(Machine m) {
-        MachineType type = machines.type(m);
-        return type == null ? 0 : type.price(m.spot) / type.cpus();
-    }
-
     private void record(String name, MachineFate fate, String reason) {
         Replica.MachineEntry known = replica.machines().get(name);
         if (known == null) {
@@ -482,8 +435,7 @@
     private void write(String key, long version, MachineRecord record) {
         if (writing.add(key)) {
             Txn txn = new Txn.Builder().when(key, version).set(key, record).build();
-            journaller.submit(record.fate() == MachineFate.RETURN ? Journaller.Urgency.LATER : Journaller.Urgency.OUTCOME, txn,
-                    (status, revision) -> writing.remove(key));
+            journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> writing.remove(key));
         }
     }
 
--- a/src/main/java/dewlane/core/Lending.java
+++ b/src/main/java/dewlane/core/Lending.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Value.Member;
 import java.util.List;
 
@@ -38,21 +37,13 @@
         }
         for (JobEntry job : replica.jobs()) {
             if (job.job() != null && !job.aborted() && context.wall() - job.job().acceptedMs() > WAIT_MS
-                    && quota.divides(job.job()) && waiting(job) > 0 && quota.spare(job.job()) && lendFor(job)) {
+                    && quota.divides(job.job()) && job.waiting() > 0 && quota.spare(job.job()) && lendFor(job)) {
                 lentAt = context.now();
                 return;
             }
         }
     }
 
-    private static int waiting(JobEntry job) {
-        int n = 0;
-        for (SliceEntry s : job.slices()) {
-            n += s.value().waiting();
-        }
-        return n;
-    }
-
     private boolean lendFor(JobEntry job) {
         Job spec = job.job();
         String self = context.settings().node();
@@ -70,7 +61,7 @@
         for (int i = 0; i < rooms.length; i++) {
             String other = members.get(i).name();
             if (!other.equals(self) && rooms[i] > 0 && quota.room(spec, other) <= 0) {
-                int tasks = Math.min(Math.max(1, mine / 2), Math.min(rooms[i], waiting(job)));
+                int tasks = Math.min(Math.max(1, mine / 2), Math.min(rooms[i], job.waiting()));
                 double lentCpus = Math.min(cpus, tasks * spec.cpus() - quota.spareCpus(spec, other));
                 double lentGpus = Math.min(gpus, tasks * spec.gpus() - quota.spareGpus(spec, other));
                 if (lentCpus > 0 || lentGpus > 0) {
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -81,6 +81,8 @@
     long strayedSequence;
     /** It was to be returned when it was last heard of: if it is silent, it is gone as it should be. */
     boolean returned;
+    /** It is being returned, though no record shows that yet. */
+    boolean leaving;
     /** When the cloud takes the machine away; 0: not announced. */
     long takenAt;
     Map<Key, Report.TaskState> reported = Map.of();
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -86,7 +86,7 @@
 
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
-        return m.type != null && machines.type(m) != null && m.takenAt == 0 && m.doubtSince == 0
+        return !m.leaving && m.type != null && machines.type(m) != null && m.takenAt == 0 && m.doubtSince == 0
                 && m.heardWithin(context.now(), context.settings().heardMs()) && reports(m)
                 && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
     }
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -105,11 +105,14 @@
         return Math.min(use.room(team.cpusMax(), cpus, true, job), use.room(team.gpusMax(), gpus, false, job));
     }
 
-    /** How many tasks of the job a controller has room for in its share of the team's limit, where it has one. */
+    /** How many tasks of the job a controller has room for under the team's limit, in its share where it has one. */
     int room(Job job, String node) {
         Settings.Team team = team(job);
-        return !limited(job) || !shared(team) ? Integer.MAX_VALUE
-                : room(team, job, node, cpusShare(team, node), gpusShare(team, node));
+        if (!limited(job)) {
+            return Integer.MAX_VALUE;
+        }
+        return shared(team) ? room(team, job, node, cpusShare(team, node), gpusShare(team, node))
+                : room(job, machines.use(job.team()));
     }
 
     /** What a controller leaves of its share of the team's CPUs; less than nothing if it has inherited too much. */
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -91,6 +91,15 @@
             return n;
         }
 
+        /** Tasks that are neither done nor may be on a machine. */
+        int waiting() {
+            int n = 0;
+            for (SliceEntry s : slices.values()) {
+                n += s.value.waiting();
+            }
+            return n;
+        }
+
         /** True if every task has a done mark. */
         public boolean complete() {
             return record != null && done() == record.job().tasks();
--- /dev/null
+++ b/src/main/java/dewlane/core/Returns.java
@@ -0,0 +1,83 @@
+package dewlane.core;
+
+import dewlane.core.Value.MachineFate;
+import dewlane.core.Value.MachineRecord;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Gives back idle machines of this part, as many as are idle by one record. A record for each cost three changes a machine,
+ * and at most four went back in a second: after a day's work hundreds stayed for minutes, at full price.
+ *
+ * <p>The partition's owner alone launches on a machine, and the record is conditional on the map, so nothing can be on the machines
+ * once it is written; the leader deletes them.
+ */
+final class Returns {
+    private static final int MOST_AT_ONCE = 100;
+    /** Those that become idle soon after one another share a record. */
+    private static final long GATHER_MS = 4000;
+    /** While work waits, idle machines are kept for so many times as long: it may be about to reach them. */
+    private static final int PATIENCE_WHILE_WORK_WAITS = 3;
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final Journaller journaller;
+    private final Placement placement;
+    private long records;
+    private long returnedAt = Long.MIN_VALUE / 2;
+
+    Returns(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+            Placement placement) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.journaller = journaller;
+        this.placement = placement;
+    }
+
+    void tick() {
+        if (!membership.joined() || membership.silence() > 2000 || context.now() - returnedAt < GATHER_MS
+                || !journaller.open(Journaller.Urgency.LATER)) {
+            return;
+        }
+        long idleMs = (long) (context.settings().tuning().idleS() * 1000 * (workWaits() ? PATIENCE_WHILE_WORK_WAITS : 1));
+        List<Machine> idle = new ArrayList<>();
+        for (Machine m : machines.own()) {
+            // An ordinary machine is dearer, and goes after half the time.
+            if (idle.size() < MOST_AT_ONCE && m.live.isEmpty() && m.use.none() && placement.takesTasks(m)
+                    && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
+                idle.add(m);
+            }
+        }
+        if (!idle.isEmpty()) {
+            giveBack(idle);
+        }
+    }
+
+    private boolean workWaits() {
+        for (Replica.JobEntry job : replica.jobs()) {
+            if (job.job() != null && !job.aborted() && job.waiting() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void giveBack(List<Machine> idle) {
+        returnedAt = context.now();
+        List<String> names = idle.stream().map(m -> m.name).toList();
+        context.info("returning idle machines " + names);
+        idle.forEach(m -> m.leaving = true);
+        String key = Keys.machines(context.settings().node() + "-idle", membership.incarnation(), ++records);
+        Txn txn = new Txn.Builder().when(key, 0).when(Keys.MAP, replica.mapVersion())
+                .set(key, new MachineRecord(MachineFate.RETURN, "idle", names)).build();
+        journaller.submit(Journaller.Urgency.LATER, txn, (status, revision) -> {
+            if (status != Txn.Status.COMMITTED) {
+                idle.forEach(m -> m.leaving = false);
+            }
+        });
+    }
+}
