--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -136,22 +136,25 @@
     }
 
     /**
-     * The jobs that fit into their team's guarantee along with the team's earlier unfinished jobs.
+     * The jobs that fit into their team's guarantee along with the team's earlier unfinished jobs. Idle work takes of a
+     * guarantee what the team's other work leaves: its backlog is the oldest there is, and went before all that had a deadline.
      *
      * @param ready unfinished jobs in ready order
      */
     Set<String> guaranteed(List<JobEntry> ready) {
         Map<String, double[]> sums = new HashMap<>();
         Set<String> within = new HashSet<>();
-        for (JobEntry entry : ready) {
-            Job job = entry.job();
-            Settings.Team team = team(job);
-            if (team != null && (team.cpus() > 0 || team.gpus() > 0)) {
-                double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
-                sum[0] += job.tasks() * job.cpus();
-                sum[1] += job.tasks() * job.gpus();
-                if (sum[0] <= team.cpus() + 1e-9 && sum[1] <= team.gpus() + 1e-9) {
-                    within.add(entry.id);
+        for (boolean idle : new boolean[] {false, true}) {
+            for (JobEntry entry : ready) {
+                Job job = entry.job();
+                Settings.Team team = team(job);
+                if (team != null && (team.cpus() > 0 || team.gpus() > 0) && (job.priority() == Priority.IDLE) == idle) {
+                    double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
+                    sum[0] += job.tasks() * job.cpus();
+                    sum[1] += job.tasks() * job.gpus();
+                    if (sum[0] <= team.cpus() + 1e-9 && sum[1] <= team.gpus() + 1e-9) {
+                        within.add(entry.id);
+                    }
                 }
             }
         }
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -39,11 +39,17 @@
             answer(in.id(), 400, null, in.reason());
             return;
         }
-        if (replica.job(in.uid()) != null || replica.fin(in.uid()) != null || in.job() == null) {
+        if (replica.job(in.uid()) != null || replica.fin(in.uid()) != null) {
             // A job that is known stays known, whatever the body of a retry says.
             lookUp(in.id(), in.uid(), () -> reject(in));
             return;
         }
+        if (in.job() == null) {
+            // No accepted job was malformed, but only the state service knows of all that are over. Where it does not answer,
+            // a body that could never be accepted is told so all the same.
+            lookUp(in.id(), in.uid(), () -> reject(in), () -> answer(in.id(), 400, null, in.reason()));
+            return;
+        }
         String unfit = unfit(in.job());
         if (unfit != null) {
             lookUp(in.id(), in.uid(), () -> answer(in.id(), 422, null, unfit));
@@ -140,8 +146,15 @@
         });
     }
 
-    /** Answers with the job's state, or runs {@code unknown} if it was never accepted. */
     private void lookUp(long id, String job, Runnable unknown) {
+        lookUp(id, job, unknown, () -> unavailable(id));
+    }
+
+    /**
+     * Answers with the job's state, or runs {@code unknown} if it was never accepted, or {@code silent} if the state service
+     * says nothing.
+     */
+    private void lookUp(long id, String job, Runnable unknown, Runnable silent) {
         FinalRecord fin = replica.fin(job);
         if (fin != null) {
             answerFinal(id, job, fin);
@@ -149,7 +162,7 @@
         }
         read(Keys.job(job), read -> {
             if (!read.known()) {
-                unavailable(id);
+                silent.run();
             } else if (read.value() == null) {
                 // The job key is gone only once the final key is there.
                 lookUpFinal(id, job, unknown);
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -44,7 +44,9 @@
     private static final Logger CORE = LoggerFactory.getLogger(Controller.class);
     private static final int MAX_BODY = 64 * 1024;
     private static final long TICK_MS = 100;
+    /** Users wait 5 s for an answer, and 2 s when they ask about a job. */
     private static final long USER_MS = 4500;
+    private static final long POLL_MS = 1800;
     private static final long PEER_MS = 1500;
     private static final long SUMMARY_MS = 60_000;
     private static final int MAX_PENDING = 500;
@@ -65,6 +67,7 @@
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
     /** Requests of users in the order in which they came; most are answered by the time it is looked at. */
     private final Deque<Asked> asked = new ArrayDeque<>();
+    private final Deque<Asked> polled = new ArrayDeque<>();
     private final EffectQueue effects = new EffectQueue(this::act);
     private final long startedAt = System.nanoTime();
     private final Histogram userMs = new Histogram(60_000, 2);
@@ -129,12 +132,18 @@
             return;
         }
         thread.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
-        while (!asked.isEmpty() && System.nanoTime() - asked.peek().at() > USER_MS * 1_000_000) {
-            reply(asked.poll().id(), 503, UserWire.error("no answer in time, try again"));
-        }
+        giveUp(asked, USER_MS);
+        giveUp(polled, POLL_MS);
         accept(new Input.Tick());
     }
 
+    /** Tells those to come back who have been without an answer for about as long as they wait for one. */
+    private void giveUp(Deque<Asked> requests, long afterMs) {
+        while (!requests.isEmpty() && System.nanoTime() - requests.peek().at() > afterMs * 1_000_000) {
+            reply(requests.poll().id(), 503, UserWire.error("no answer in time, try again"));
+        }
+    }
+
     /** Says once a minute how long users waited for their answers. */
     private void summarise() {
         if (worker.isShutdown()) {
@@ -269,19 +278,19 @@
         } else if (!UserWire.isUid(id)) {
             send(exchange, 404, UserWire.error("no such job"));
         } else if (abort) {
-            receive(exchange, (e, body) -> fromUser(e, n -> new Input.Abort(n, id)));
+            receive(exchange, (e, body) -> fromUser(e, asked, n -> new Input.Abort(n, id)));
         } else {
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> fromUser(exchange, n -> new Input.Poll(n, id)));
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> fromUser(exchange, polled, n -> new Input.Poll(n, id)));
         }
     }
 
     private void submit(HttpServerExchange exchange, byte[] body) {
         UserWire.Submission s = UserWire.submission(body);
-        fromUser(exchange, n -> new Input.Submit(n, s.uid(), s.job(), s.reason()));
+        fromUser(exchange, asked, n -> new Input.Submit(n, s.uid(), s.job(), s.reason()));
     }
 
     /** Asks the core for an answer. Too many at once are told to come back. */
-    private void fromUser(HttpServerExchange exchange, java.util.function.LongFunction<Input> input) {
+    private void fromUser(HttpServerExchange exchange, Deque<Asked> requests, java.util.function.LongFunction<Input> input) {
         if (pending.size() >= MAX_PENDING) {
             send(exchange, 503, UserWire.error("too busy, try again"));
             return;
@@ -293,7 +302,7 @@
             userMs.recordValue(Math.min(60_000, (System.nanoTime() - askedAt) / 1_000_000));
             next.proceed();
         });
-        asked.add(new Asked(id, askedAt));
+        requests.add(new Asked(id, askedAt));
         accept(input.apply(id));
     }
 
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -187,6 +187,41 @@
         assertEquals(200, take(Effect.AnswerUser.class).get(0).status());
     }
 
+    @Test
+    void aMalformedSubmissionIsToldSoAlsoWhenTheStateServiceIsOutUnlessItsJobMayBeKnown() {
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
+        effects.clear();
+        hear(10, new Input.Submit(5, "wk-1", null, "bottles must be an integer"));
+        hear(10, new Input.ValueRead(take(Effect.ReadValue.class).get(0).id(), false, null, 0));
+        assertEquals(503, take(Effect.AnswerUser.class).get(0).status());
+        hear(10, new Input.Submit(6, "wk-2", null, "bottles must be an integer"));
+        hear(10, new Input.ValueRead(take(Effect.ReadValue.class).get(0).id(), false, null, 0));
+        assertEquals(400, take(Effect.AnswerUser.class).get(0).status());
+    }
+
+    @Test
+    void aLateAnswerShowsNoStateOlderThanTheFinalOne() {
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
+        effects.clear();
+        hear(10, new Input.Poll(5, "wk-1"));
+        long read = take(Effect.ReadValue.class).get(0).id();
+        change(Keys.fin("wk-1"), new Value.FinalRecord(true, now));
+        effects.clear();
+        hear(10, new Input.ValueRead(read, true, new JobRecord(job(1, 1), List.of(), 0), revision - 1));
+        assertEquals(Effect.Condition.ABORTED, take(Effect.AnswerUser.class).get(0).state().condition());
+    }
+
+    @Test
+    void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
+        for (double cancelS : new double[] {31, 44}) {
+            Controller tight = new Controller(new Settings("n0", List.of(), Map.of(), List.of(), List.of("east"), 3, 30, cancelS,
+                    100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults()), 1);
+            boolean warned = tight.handle(0, 0, new Input.Tick()).stream()
+                    .anyMatch(e -> e instanceof Effect.Log l && l.text().contains("too short beside lease_s"));
+            assertEquals(cancelS == 31, warned);
+        }
+    }
+
     /** A watch that fell behind has the state read anew, under the same map: no token may be used a second time. */
     @Test
     void afterTheStateIsReadAnewTokensOnlyGrow() {
--- /dev/null
+++ b/src/test/java/dewlane/core/QuotaTest.java
@@ -0,0 +1,48 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dewlane.core.Replica.JobEntry;
+import dewlane.core.Value.JobRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class QuotaTest {
+    private final Settings settings = new Settings("n0", List.of(), Map.of("blue", new Settings.Team("blue", 20, 0, 0, 0)), List.of(),
+            List.of("east"), 3, 30, 60, 100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults());
+    private final Replica replica = new Replica(delta -> { });
+    private final List<JobEntry> ready = new ArrayList<>();
+
+    private void accepted(String id, Priority priority, int tasks) {
+        Job job = new Job(id, "lot", "blue", priority, tasks, 2, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0, 0, 1);
+        replica.apply(new Input.Change(Keys.job(id), new JobRecord(job, List.of(), 0), ready.size() + 1));
+        ready.add(replica.job(id));
+    }
+
+    private Set<String> guaranteed() {
+        return new Quota(settings, replica, null).guaranteed(ready);
+    }
+
+    /** Counted on a day: an idle backlog, always the oldest, took the whole guarantee before work with a deadline. */
+    @Test
+    void idleWorkTakesWhatTheOtherWorkOfItsTeamLeavesOfTheGuarantee() {
+        accepted("old-idle", Priority.IDLE, 6);
+        accepted("standard", Priority.STANDARD, 7);
+        assertEquals(Set.of("standard"), guaranteed());
+        accepted("small-idle", Priority.IDLE, 3);
+        assertEquals(Set.of("standard"), guaranteed(), "none overtakes an earlier one of its kind");
+    }
+
+    @Test
+    void withinTheGuaranteeAreAllThatFitAlongWithEarlierOnes() {
+        accepted("first", Priority.HIGH, 5);
+        accepted("idle", Priority.IDLE, 2);
+        accepted("second", Priority.STANDARD, 3);
+        assertEquals(Set.of("first", "second", "idle"), guaranteed());
+        accepted("third", Priority.HIGH, 3);
+        assertEquals(Set.of("first", "second"), guaranteed());
+    }
+}
--- a/src/test/java/dewlane/sim/MeetingsTest.java
+++ b/src/test/java/dewlane/sim/MeetingsTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -125,6 +126,34 @@
         calm(world, 200_000);
     }
 
+    /** The times of the deployments with the shortest and the longest lease: what is lost follows from them, not from seconds in the code. */
+    @ParameterizedTest
+    @CsvSource({"2.5, 14, 44", "5, 31, 61"})
+    void controllersThatEndAndARollCostNoTaskWhateverTheLease(double reportS, double leaseS, double cancelS) {
+        World world = World.quiet(4, NO_LIMIT, 16, 12, reportS, leaseS, cancelS);
+        world.users.submit(job(1, Priority.HIGH, 24, 2, 150));
+        world.run(25_000);
+        leader(world).crash(8000);
+        world.run(50_000);
+        for (SimNode node : List.copyOf(world.nodes.values())) {
+            node.crash(2000);
+            world.run(world.now() + 15_000);
+        }
+        assertEquals(24, world.checker.starts);
+        assertEquals(12, world.cloud.machines.size());
+        world.users.submit(job(2, Priority.HIGH, 12, 1, 300));
+        world.run(110_000);
+        SimNode refused = leader(world);
+        world.state.refused.add(refused.name);
+        world.users.cancelAt(other(world, refused), id(2));
+        world.run(111_000);
+        world.state.outage((long) (1000 * cancelS) + 10_000);
+        world.run(111_000 + (long) (1000 * cancelS));
+        assertEquals(0, running(world, id(2)));
+        world.state.refused.clear();
+        calm(world, 400_000);
+    }
+
     /** The same while peers still hear one another: the owner stops the tasks at once, and those of others go on. */
     @Test
     void whatAPeerConfirmedIsStoppedWithoutTheStateService() {
--- a/src/test/java/dewlane/sim/ScaleTest.java
+++ b/src/test/java/dewlane/sim/ScaleTest.java
@@ -89,4 +89,13 @@
         long maps = ((Value.ClusterMap) world.state.get(Keys.MAP)).epoch();
         assertTrue(maps <= 3 * CONTROLLERS, maps + " maps for one crash of all but one");
     }
+
+    /** Counted on a day: each machine that went back cost three changes, and at most four a second did. */
+    @Test
+    void idleMachinesGoBackTogether() {
+        World world = world(30);
+        world.run(110_000);
+        assertEquals(0, world.cloud.machines.size());
+        assertTrue(world.state.machineChanges < 200, world.state.machineChanges + " changes for " + MACHINES + " machines");
+    }
 }
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -39,6 +39,7 @@
     int lateApplied;
     /** Puts and deletes so far but of machines' records, and the longest value and transaction, in bytes. */
     long changes;
+    long machineChanges;
     int longestValue;
     int longestTxn;
     private double tokens;
@@ -179,6 +180,7 @@
         if (bytes > 65_536) {
             throw new AssertionError("a transaction of " + bytes + " bytes");
         }
+        machineChanges += txn.apply().stream().filter(w -> w.key().startsWith(Keys.MACHINES)).count();
         changes += txn.apply().stream().filter(w -> !w.key().startsWith(Keys.MACHINES)).count();
         longestTxn = Math.max(longestTxn, bytes);
         if (!txn.apply().isEmpty()) {
--- a/src/test/java/dewlane/sim/World.java
+++ b/src/test/java/dewlane/sim/World.java
@@ -47,8 +47,14 @@
 
     /** Three controllers and small spot machines in the east that have settled, without troubles, and no idle machine goes back. */
     static World quiet(long seed, Map<String, Settings.Team> teams, int txnOps, int machines) {
+        return quiet(seed, teams, txnOps, machines, 3, 30, 60);
+    }
+
+    /** The same with workers' times of the deployment's own. */
+    static World quiet(long seed, Map<String, Settings.Team> teams, int txnOps, int machines, double reportS, double leaseS,
+                       double cancelS) {
         List<String> names = List.of("n0", "n1", "n2");
-        Settings settings = new Settings("none", names, teams, List.of(), List.of("east", "west"), 3, 30, 60, 150, 60,
+        Settings settings = new Settings("none", names, teams, List.of(), List.of("east", "west"), reportS, leaseS, cancelS, 150, 60,
                 16_384, txnOps, 10, 3, new Settings.Tuning(3000, 12, 300, 4, 256));
         World world = new World(seed, settings, Broken.NONE);
         world.trouble = 0;
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -94,7 +94,8 @@
                 Keys.slice("wk-1", 2), new Value.Slice("n0", 40, 20, 3, done,
                         List.of(new Attempt(45, 3, "vm-1", 2, 77L << 20, 5_000_000_000L),
                                 new Attempt(46, 3, "vm-2", 1, (76L << 20) + 5, 5_000_000_000L))),
-                Keys.MAP, new Value.ClusterMap(5, List.of(new Value.Member("a", 4), new Value.Member("b", 5)), Map.of("vm-1", "b")),
+                Keys.MAP, new Value.ClusterMap(5, List.of(new Value.Member("a", 4), new Value.Member("b", 5)), Map.of("vm-1", "b"),
+                        List.of(new Value.Loan("blue", "a", 1.5, 0), new Value.Loan("blue", "b", -1.5, 0))),
                 Keys.presence("a"), (Value) new Value.Presence(4),
                 Keys.machine("vm-1"), new Value.MachineRecord(Value.MachineFate.GONE, "deleted", List.of()),
                 Keys.machines("a", 3, 1), new Value.MachineRecord(Value.MachineFate.DELETE, "silent", List.of("vm-1", "vm-2"))).entrySet()) {
