--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -25,7 +25,7 @@
     private static final long STRAY_MS = 30_000;
     private static final long OWNER_HEARD_MS = 4000;
     private static final long SETTLE_MS = 10_000;
-    /** How often a machine in doubt is asked for a sign that it hears. */
+    /** How often a suspected machine is asked for a sign that it hears. */
     private static final long PROBE_MS = 2000;
     private static final long RESEND_MS = 2000;
 
@@ -165,7 +165,7 @@
     /**
      * Decides what the report says about whether the machine hears this controller. The answer to a command shows it.
      * A report shows it as long as they come in time and each shows what the answer to the last one gave; else the
-     * machine is in doubt, gets no further tasks, and is asked.
+     * machine is suspected, gets no further tasks, and is asked.
      */
     private void hear(Machine m, Report r, boolean answer) {
         long now = context.now();
@@ -174,15 +174,15 @@
             Live l = m.live.get(k);
             missed |= l != null && l.attempt.session() == r.session() && !m.reported.containsKey(k);
         }
-        boolean sure = answer || (m.doubtSince != 0 ? r.token() >= m.challenge : !missed && m.heardWithin(now, context.settings().heardMs()));
+        boolean sure = answer || (m.suspectedSince != 0 ? r.token() >= m.challenge : !missed && m.heardWithin(now, context.settings().heardMs()));
         if (sure) {
             m.confirm(now);
             m.returned &= replica.machines().containsKey(m.name);
             notice(m, r);
-        } else if (m.doubtSince == 0) {
-            counters.doubts++;
+        } else if (m.suspectedSince == 0) {
+            counters.suspicions++;
             context.debug("machine " + m.name + " is heard but may not hear: " + (missed ? "missed an answer" : "was silent"));
-            m.doubt(now);
+            m.suspect(now);
         }
     }
 
@@ -333,7 +333,7 @@
             }
             List<Order> orders = orders(m, false);
             boolean urgent = orders.stream().anyMatch(o -> o.kind() != Order.Kind.FORGET);
-            boolean probe = m.doubtSince != 0 && context.now() - m.probedAt > PROBE_MS
+            boolean probe = m.suspectedSince != 0 && context.now() - m.probedAt > PROBE_MS
                     && (m.tokenLate && !m.live.isEmpty() || m.sequence > 0);
             if (urgent || probe) {
                 counters.commands++;
@@ -351,10 +351,10 @@
         machines.changed().addAll(later);
     }
 
-    /** Looks again at machines in doubt, or with tasks that are still to show: an order may have been lost. */
+    /** Looks again at suspected machines, or ones with tasks that are still to show: an order may have been lost. */
     void tick() {
         for (Machine m : machines.own()) {
-            if (m.doubtSince != 0 || !m.stops.isEmpty()
+            if (m.suspectedSince != 0 || !m.stops.isEmpty()
                     || m.live.values().stream().anyMatch(l -> !l.over && !m.reported.containsKey(l.key))) {
                 machines.touch(m);
             }
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -23,7 +23,7 @@
     private final Replica replica = new Replica(this::follow);
     private final Counters counters = new Counters();
     private final Release release = new Release();
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Membership membership;
     private final Cancellations cancellations;
     private final Machines machines;
@@ -48,19 +48,19 @@
     public Controller(Settings settings, long seed) {
         context = new Context(settings, seed);
         cancellations = new Cancellations(context);
-        journaller = new Journaller(context, counters);
+        transactions = new TransactionQueue(context, counters);
         machines = new Machines(context, replica);
-        membership = new Membership(context, replica, machines, journaller);
+        membership = new Membership(context, replica, machines, transactions);
         Quota quota = new Quota(settings, replica, machines);
         Dealer dealer = new Dealer(context, replica, machines, quota);
         lending = new Lending(context, replica, membership, quota, dealer);
-        placement = new Placement(context, replica, machines, membership, journaller, release, quota, dealer,
+        placement = new Placement(context, replica, machines, membership, transactions, release, quota, dealer,
                 cancellations, counters);
         attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
-        health = new Health(context, replica, machines, membership, journaller, cancellations);
-        returns = new Returns(context, replica, machines, membership, journaller, placement);
-        fleet = new Fleet(context, replica, machines, membership, journaller, placement, quota);
-        users = new Users(context, replica, machines, membership, journaller, dealer, cancellations);
+        health = new Health(context, replica, machines, membership, transactions, cancellations);
+        returns = new Returns(context, replica, machines, membership, transactions, placement);
+        fleet = new Fleet(context, replica, machines, membership, transactions, placement, quota);
+        users = new Users(context, replica, machines, membership, transactions, dealer, cancellations);
     }
 
     /** Handles one message that arrived at the given steady time and time of day. */
@@ -114,7 +114,7 @@
             if (in.status() == Txn.Status.COMMITTED || in.status() == Txn.Status.CONFLICT) {
                 membership.contact();
             }
-            journaller.answered(in);
+            transactions.answered(in);
             dirty = true;
         } else if (input instanceof Input.Submit in) {
             users.submit(in);
@@ -164,7 +164,7 @@
             context.emit(new Effect.ListState());
         }
         membership.tick(loaded && replica.revision() >= loadedFrom);
-        journaller.pump();
+        transactions.pump();
         dirty |= context.now() - passedAt >= QUIET_PASS_MS;
         if (cancellations.takeNews() && membership.joined()) {
             // Owners need not wait for their watch, which may be refused just now.
@@ -173,7 +173,7 @@
         if (context.now() - slowAt >= SLOW_MS) {
             slowAt = context.now();
             if (replica.map() != null) {
-                journaller.shareAmong(replica.map().members().size());
+                transactions.shareAmong(replica.map().members().size());
             }
             health.tick();
             attempts.tick();
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -12,16 +12,16 @@
     long machinesLookedAt;
     long commands;
     long probes;
-    long doubts;
+    long suspicions;
     long handed;
     long writes;
     long changesWritten;
     long launched;
-    private final long[] changesBy = new long[Journaller.Urgency.values().length];
+    private final long[] changesBy = new long[TransactionQueue.Urgency.values().length];
     long conflicts;
     long refused;
 
-    void wrote(Journaller.Urgency urgency, int changes) {
+    void wrote(TransactionQueue.Urgency urgency, int changes) {
         writes++;
         changesWritten += changes;
         changesBy[urgency.ordinal()] += changes;
@@ -29,7 +29,7 @@
 
     private String byUrgency() {
         StringBuilder text = new StringBuilder();
-        for (Journaller.Urgency u : Journaller.Urgency.values()) {
+        for (TransactionQueue.Urgency u : TransactionQueue.Urgency.values()) {
             text.append(text.length() == 0 ? "" : ", ").append(u.name().toLowerCase(Locale.ROOT)).append(' ').append(changesBy[u.ordinal()]);
         }
         return text.toString();
@@ -38,7 +38,7 @@
     String text() {
         return "reports " + reports + ", changes seen " + changesSeen + " with " + attemptsSeen + " attempts, passes " + passes
                 + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands + ", probes "
-                + probes + ", doubts " + doubts + ", handed on " + handed + ", writes " + writes + " of " + changesWritten
+                + probes + ", suspicions " + suspicions + ", handed on " + handed + ", writes " + writes + " of " + changesWritten
                 + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts + ", refused " + refused;
     }
 }
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -119,7 +119,7 @@
             return false;
         }
         if (m.owner.equals(context.settings().node())) {
-            return m.heardWithin(context.now(), context.settings().heardMs()) && m.takenAt == 0 && m.doubtSince == 0;
+            return m.heardWithin(context.now(), context.settings().heardMs()) && m.takenAt == 0 && m.suspectedSince == 0;
         }
         return machines.listedByOwner(m);
     }
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -63,7 +63,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Placement placement;
     private final Quota quota;
     private final Map<String, ListedMachine> listed = new LinkedHashMap<>();
@@ -83,13 +83,13 @@
     private long ledSince;
     private boolean planned;
 
-    Fleet(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+    Fleet(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
           Placement placement, Quota quota) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.placement = placement;
         this.quota = quota;
     }
@@ -435,14 +435,14 @@
     private void write(String key, long version, MachineRecord record) {
         if (writing.add(key)) {
             Txn txn = new Txn.Builder().when(key, version).set(key, record).build();
-            journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> writing.remove(key));
+            transactions.submit(TransactionQueue.Urgency.OUTCOME, txn, (status, revision) -> writing.remove(key));
         }
     }
 
     private void drop(Replica.MachineEntry entry) {
         if (writing.add(entry.key())) {
             Txn txn = new Txn.Builder().when(entry.key(), entry.version()).delete(entry.key()).build();
-            journaller.submit(Journaller.Urgency.LATER, txn, (status, revision) -> {
+            transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
                 writing.remove(entry.key());
                 goneAt.remove(entry.key());
             });
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -28,7 +28,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Cancellations cancellations;
     private final Set<String> asking = new HashSet<>();
     private long incarnation;
@@ -37,13 +37,13 @@
     private long endedAt = Long.MIN_VALUE / 2;
     private long mostSilentAt = Long.MIN_VALUE / 2;
 
-    Health(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+    Health(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
            Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.cancellations = cancellations;
     }
 
@@ -71,8 +71,8 @@
         long patience = (long) (context.settings().tuning().silentS() * 1000);
         for (Machine m : machines.own()) {
             if (known(m)) {
-                // Those in doubt or just fallen silent count too: they do not all begin at the same moment.
-                if (m.doubtSince != 0 || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
+                // Those suspected or just fallen silent count too: they do not all begin at the same moment.
+                if (m.suspectedSince != 0 || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
                     silent++;
                 } else {
                     heard++;
@@ -92,7 +92,7 @@
             if (!m.failedJobs.isEmpty() && machines.faulty(m)) {
                 condemned.put(m.name, "faulty");
             } else if (known(m) && silentFor(m) > patience && (trusts || silentFor(m) > 3 * patience)) {
-                condemned.put(m.name, m.sequence > 0 && m.doubtSince != 0 ? "out of reach" : "silent");
+                condemned.put(m.name, m.sequence > 0 && m.suspectedSince != 0 ? "out of reach" : "silent");
             } else if (silentFor(m) > patience && m.live.values().stream().anyMatch(this::cancelledLong)) {
                 // A hanging machine keeps a cancelled task; only its deletion ends that in time.
                 condemned.put(m.name, "silent with a cancelled task");
@@ -158,6 +158,6 @@
         String key = Keys.machines(context.settings().node(), incarnation, ++records);
         Txn txn = new Txn.Builder().when(key, 0).when(Keys.MAP, replica.mapVersion())
                 .set(key, new MachineRecord(MachineFate.DELETE, reason, names)).build();
-        journaller.submit(Journaller.Urgency.OUTCOME, txn, (status, revision) -> asking.removeAll(names));
+        transactions.submit(TransactionQueue.Urgency.OUTCOME, txn, (status, revision) -> asking.removeAll(names));
     }
 }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -65,9 +65,9 @@
     long heardAt;
     /** When a report of its own came last, not an answer to a command. */
     long reportedAt;
-    /** Since when it is in doubt whether answers and commands reach the machine; 0: not. */
-    long doubtSince;
-    /** A report with this token ends the doubt: it was handed out after the doubt began. */
+    /** Since when it is suspected that answers and commands do not reach the machine; 0: not. */
+    long suspectedSince;
+    /** A report with this token ends the suspicion: it was handed out after that began. */
     long challenge;
     /** The token and launches of the latest answer to a report, which the next report must show. */
     long promised;
@@ -130,7 +130,7 @@
         unsure = false;
         since = now;
         heardAt = 0;
-        doubtSince = now;
+        suspectedSince = now;
         challenge = token();
         promised = 0;
         promisedLaunches.clear();
@@ -175,15 +175,15 @@
     /** The machine has shown that it hears this controller. */
     void confirm(long now) {
         heardAt = now;
-        doubtSince = 0;
+        suspectedSince = 0;
     }
 
     /**
      * Being heard is not being reachable: from now on only an answer to a command, or a report with a token that was
      * handed out after this moment, shows that the machine hears this controller. A late copy has neither.
      */
-    void doubt(long now) {
-        doubtSince = now;
+    void suspect(long now) {
+        suspectedSince = now;
         probedAt = 0;
         boolean launchUnderWay = false;
         for (Live l : live.values()) {
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -30,7 +30,7 @@
     private final Context context;
     private final Replica replica;
     private final Machines machines;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final String self;
     private final Map<String, Long> missingSince = new HashMap<>();
     private final Set<String> claims = new HashSet<>();
@@ -48,11 +48,11 @@
     private long newerSince;
     private long claimedAt = Long.MIN_VALUE / 2;
 
-    Membership(Context context, Replica replica, Machines machines, Journaller journaller) {
+    Membership(Context context, Replica replica, Machines machines, TransactionQueue transactions) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.self = context.settings().node();
     }
 
@@ -249,7 +249,7 @@
 
     private void write(Txn txn, long incarnation) {
         writing = true;
-        journaller.submit(Journaller.Urgency.MEMBERSHIP, txn, (status, revision) -> {
+        transactions.submit(TransactionQueue.Urgency.MEMBERSHIP, txn, (status, revision) -> {
             writing = false;
             writtenAt = revision;
             if (status == Txn.Status.COMMITTED) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -52,7 +52,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Release release;
     private final Quota quota;
     private final Dealer dealer;
@@ -67,13 +67,13 @@
     /** Shapes for which this pass found no room. */
     private final Set<Job.Shape> full = new HashSet<>();
 
-    Placement(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+    Placement(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
               Release release, Quota quota, Dealer dealer, Cancellations cancellations, Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.release = release;
         this.quota = quota;
         this.dealer = dealer;
@@ -86,7 +86,7 @@
 
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
-        return !m.leaving && m.type != null && machines.type(m) != null && m.takenAt == 0 && m.doubtSince == 0
+        return !m.leaving && m.type != null && machines.type(m) != null && m.takenAt == 0 && m.suspectedSince == 0
                 && m.heardWithin(context.now(), context.settings().heardMs()) && reports(m)
                 && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
     }
@@ -203,7 +203,7 @@
 
     private void step(JobEntry job, boolean launches) {
         Work work = machines.work(job.id);
-        if (work.busy(replica.revision()) || !journaller.open(Journaller.Urgency.OUTCOME)) {
+        if (work.busy(replica.revision()) || !transactions.open(TransactionQueue.Urgency.OUTCOME)) {
             return;
         }
         Map<SliceEntry, Slice> next = new LinkedHashMap<>();
@@ -227,7 +227,7 @@
             }
             finish(job, txn);
         } else {
-            if (!cancellations.ended(job) && launches && context.now() >= work.notBefore && journaller.open(Journaller.Urgency.LAUNCH)) {
+            if (!cancellations.ended(job) && launches && context.now() >= work.notBefore && transactions.open(TransactionQueue.Urgency.LAUNCH)) {
                 decided = launch(job, work, next, txn, launched, room);
             }
             if (decided || !mayGather(job.job(), work, next)) {
@@ -245,7 +245,7 @@
      */
     private boolean mayGather(Job spec, Work work, Map<SliceEntry, Slice> next) {
         boolean lent = quota.lends(spec);
-        long most = journaller.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
+        long most = transactions.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
         return context.now() - work.outcomesSince < most
                 && work.outcomes.values().stream().allMatch(o -> o == Outcome.DONE)
                 && next.values().stream().anyMatch(s -> !s.attempts().isEmpty());
@@ -268,8 +268,8 @@
         work.outcomesSince = context.now();
         Job spec = job.job();
         boolean counted = !launched.isEmpty();
-        Journaller.Urgency urgency = counted ? Journaller.Urgency.LAUNCH : Journaller.Urgency.OUTCOME;
-        journaller.submit(urgency, txn.build(), (status, revision) -> {
+        TransactionQueue.Urgency urgency = counted ? TransactionQueue.Urgency.LAUNCH : TransactionQueue.Urgency.OUTCOME;
+        transactions.submit(urgency, txn.build(), (status, revision) -> {
             work.writing = false;
             work.settled = revision;
             if (status == Txn.Status.COMMITTED) {
--- a/src/main/java/dewlane/core/Returns.java
+++ b/src/main/java/dewlane/core/Returns.java
@@ -23,24 +23,24 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Placement placement;
     private long records;
     private long returnedAt = Long.MIN_VALUE / 2;
 
-    Returns(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+    Returns(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
             Placement placement) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.placement = placement;
     }
 
     void tick() {
         if (!membership.joined() || membership.silence() > 2000 || context.now() - returnedAt < GATHER_MS
-                || !journaller.open(Journaller.Urgency.LATER)) {
+                || !transactions.open(TransactionQueue.Urgency.LATER)) {
             return;
         }
         long idleMs = (long) (context.settings().tuning().idleS() * 1000 * (workWaits() ? PATIENCE_WHILE_WORK_WAITS : 1));
@@ -74,7 +74,7 @@
         String key = Keys.machines(context.settings().node() + "-idle", membership.incarnation(), ++records);
         Txn txn = new Txn.Builder().when(key, 0).when(Keys.MAP, replica.mapVersion())
                 .set(key, new MachineRecord(MachineFate.RETURN, "idle", names)).build();
-        journaller.submit(Journaller.Urgency.LATER, txn, (status, revision) -> {
+        transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
             if (status != Txn.Status.COMMITTED) {
                 idle.forEach(m -> m.leaving = false);
             }
--- a/src/main/java/dewlane/core/Journaller.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -15,7 +15,7 @@
  * conditional on. A conflict after such a silence may mean that an earlier copy won: whoever sent it must look at the
  * state as of the conflict's revision before deciding anything.
  */
-public final class Journaller {
+public final class TransactionQueue {
     /** How urgent a write is, most urgent first. */
     public enum Urgency { MEMBERSHIP, SAFETY, USER, OUTCOME, LAUNCH, LATER }
 
@@ -61,7 +61,7 @@
     private int share = 1;
     private double boost = 1;
 
-    Journaller(Context context, Counters counters) {
+    TransactionQueue(Context context, Counters counters) {
         this.context = context;
         this.counters = counters;
     }
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -17,19 +17,19 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
-    private final Journaller journaller;
+    private final TransactionQueue transactions;
     private final Dealer dealer;
     private final Cancellations cancellations;
     private final Long2ObjectOpenHashMap<Consumer<Input.ValueRead>> reads = new Long2ObjectOpenHashMap<>();
     private long nextRead = 1;
 
-    Users(Context context, Replica replica, Machines machines, Membership membership, Journaller journaller,
+    Users(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
           Dealer dealer, Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
-        this.journaller = journaller;
+        this.transactions = transactions;
         this.dealer = dealer;
         this.cancellations = cancellations;
     }
@@ -76,7 +76,7 @@
         Job job = in.job().withAccepted(context.wall());
         Txn.Builder txn = new Txn.Builder().when(Keys.job(job.id()), 0).when(Keys.fin(job.id()), 0)
                 .set(Keys.job(job.id()), new JobRecord(job, dealer.deal(job), 0));
-        journaller.submit(Journaller.Urgency.USER, txn.build(), (status, revision) -> {
+        transactions.submit(TransactionQueue.Urgency.USER, txn.build(), (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 answer(in.id(), 201, new JobState(job.id(), Condition.PENDING, 0, 0), null);
             } else {
@@ -133,7 +133,7 @@
         Txn txn = new Txn.Builder().when(Keys.job(job.id()), version)
                 .set(Keys.job(job.id()), new JobRecord(job, record.deals(), context.wall()))
                 .set(Keys.fin(job.id()), fin).build();
-        journaller.submit(Journaller.Urgency.SAFETY, txn, (status, revision) -> {
+        transactions.submit(TransactionQueue.Urgency.SAFETY, txn, (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 context.info("job " + job.id() + " cancelled");
                 cancellations.confirmed(job.id());
