--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -23,8 +23,11 @@
     /** How long a count of the parts' room is good enough. */
     private static final long KEEP_MS = 250;
 
+    /** So long a job leaves the room of a part to all that waits there, even to what cannot use it yet. */
+    private static final long COURTESY_MS = 30_000;
+
     /** Jobs that ask the same. */
-    private record Asked(Job.Shape shape, Priority priority, String team) { }
+    private record Asked(Job.Shape shape, Priority priority, String team, boolean waitedLong) { }
 
     private final Context context;
     private final Replica replica;
@@ -46,7 +49,8 @@
     /** What each part offers a job, the one with the most to spare first; asked again soon, it is as it was. */
     private List<Offer> offers(Job job, Job.Shape shape) {
         keepFresh();
-        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team()), a -> count(job, shape));
+        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team(), waitedLong(job)),
+                a -> count(job, shape));
     }
 
     /** Tasks of the job that each part of the map has room for. */
@@ -78,6 +82,8 @@
         List<Member> members = replica.map().members();
         int[] rooms = rooms(job, shape);
         double[] waiting = new double[members.size()];
+        double[] taking = new double[members.size()];
+        boolean waitedLong = waitedLong(job);
         for (JobEntry other : replica.jobs()) {
             if (other.job() == null || other.aborted() || other.job().priority().compareTo(job.priority()) < 0) {
                 continue;
@@ -86,11 +92,10 @@
                 int left = s.value().waiting();
                 if (left > 0) {
                     int part = index(members, Parts.owner(replica.map(), s.key, s.value()));
-                    if (rooms[part] > 0) {
-                        // What waits there takes no more than it can use, by its shape, zone and team.
-                        int takes = Math.min(left, Math.min(rooms(other.job(), other.shape())[part],
-                                quota.room(other.job(), members.get(part).name())));
-                        waiting[part] += Math.max(0, takes) * other.job().cpus() / Math.max(0.001, job.cpus());
+                    double each = other.job().cpus() / Math.max(0.001, job.cpus());
+                    waiting[part] += left * each;
+                    if (waitedLong && rooms[part] > 0) {
+                        taking[part] += Math.min(left, usable(other, members.get(part).name(), part)) * each;
                     }
                 }
             }
@@ -98,13 +103,26 @@
         List<Offer> offers = new ArrayList<>();
         for (int i = 0; i < rooms.length; i++) {
             String node = members.get(i).name();
-            double spare = Math.min(rooms[i] - waiting[i], quota.room(job, node));
-            offers.add(new Offer(node, (int) Math.max(0, Math.floor(spare)), spare));
+            int allowed = quota.room(job, node);
+            double spare = Math.min(rooms[i] - waiting[i], allowed);
+            // Large tasks need all that comes free; but a job that has waited for long leaves others no more than they can
+            // use now, or it would wait beside room for good.
+            double room = waitedLong ? Math.min(rooms[i] - taking[i], allowed) : spare;
+            offers.add(new Offer(node, (int) Math.max(0, Math.floor(room)), spare));
         }
         offers.sort(Comparator.comparingDouble(Offer::spare).reversed());
         return offers;
     }
 
+    /** Tasks of a job that waits in a part which could start there now, by their shape, zone and team. */
+    private int usable(JobEntry other, String node, int part) {
+        return Math.max(0, Math.min(rooms(other.job(), other.shape())[part], quota.room(other.job(), node)));
+    }
+
+    private boolean waitedLong(Job job) {
+        return context.wall() - job.acceptedMs() > COURTESY_MS;
+    }
+
     private static int index(List<Member> members, String name) {
         for (int i = 0; i < members.size(); i++) {
             if (members.get(i).name().equals(name)) {
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -290,6 +290,25 @@
         assertEquals(60, world.checker.starts);
     }
 
+    /** Found by a score that fell: with room nowhere, all parts looked alike, and the first got all work that waited. */
+    @Test
+    void whatFindsNoRoomWaitsWhereLeastDoes() {
+        World world = quietWorld(3);
+        world.cloud.room = 3;
+        world.users.submit(job(12, 1, List.of(), true, 300));
+        world.run(20_000);
+        assertEquals(12, world.checker.starts, "all machines are full");
+        Map<String, Integer> waiting = new java.util.HashMap<>();
+        for (int i = 2; i < 11; i++) {
+            String id = String.format("wk-%06d", i);
+            world.users.submit(new Job(id, "lot", "blue", Priority.HIGH, 10, 1, 0, 1, "image", 1, List.of(), null, false, false,
+                    true, 300, 0, 0, 0, 0));
+            world.run(world.now() + 1000);
+            ((Value.JobRecord) world.state.get(Keys.job(id))).deals().forEach(d -> waiting.merge(d.owner(), d.count(), Integer::sum));
+        }
+        assertEquals(Map.of("n0", 30, "n1", 30, "n2", 30), waiting);
+    }
+
     /** Found by the random runs: tasks waiting before others that were done stayed with a part that had no room. */
     @Test
     void tasksWaitingBeforeOthersThatAreDoneFindRoomElsewhere() {
