--- a/src/main/java/dewlane/cli/DeployFile.java
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -28,8 +28,12 @@
         }
         TomlFile services = top.table("services");
         TomlFile resources = top.table("settings").table("resources");
-        Endpoints endpoints = new Endpoints(top.address("serve_on"), top.address("peer_bind"), Map.copyOf(peers),
-                services.address("cloud"), services.address("state"),
+        Endpoints endpoints = new Endpoints(
+                top.address("serve_on"),
+                top.address("peer_bind"),
+                Map.copyOf(peers),
+                services.address("cloud"),
+                services.address("state"),
                 resources.count("max_sockets", Endpoints.fewestSockets(peers.size())));
         top.text("area");
         TomlFile all = top.table("settings");
@@ -37,12 +41,20 @@
         all.number("time_bound_ms", 0);
         Map<String, Team> teams = new LinkedHashMap<>();
         for (TomlFile t : all.tables("teams")) {
-            teams.put(t.text("name"), new Team(t.text("name"), t.number("cpus", 0, 0), t.number("gpus", 0, 0),
-                    t.number("cpus_max", 0, 0), t.number("gpus_max", 0, 0)));
+            teams.put(
+                    t.text("name"),
+                    new Team(
+                            t.text("name"),
+                            t.number("cpus", 0, 0),
+                            t.number("gpus", 0, 0),
+                            t.number("cpus_max", 0, 0),
+                            t.number("gpus_max", 0, 0)));
         }
         List<Objective> objectives = new ArrayList<>();
         for (TomlFile objective : all.tables("objectives")) {
-            objectives.add(new Objective(objective.text("kind"), objective.has("class") ? objective.text("class") : null,
+            objectives.add(new Objective(
+                    objective.text("kind"),
+                    objective.has("class") ? objective.text("class") : null,
                     objective.number("within_s", 0, Double.POSITIVE_INFINITY)));
         }
         TomlFile workers = all.table("workers");
@@ -50,18 +62,32 @@
         TomlFile cloud = all.table("cloud");
         resources.positive("cpu_share");
         resources.positive("ram_mb");
-        Settings settings = new Settings(top.text("node_name"), endpoints.peerNames(), Map.copyOf(teams),
-                List.copyOf(objectives), all.texts("zones"), workers.positive("report_s"), workers.positive("lease_s"),
-                workers.positive("cancel_s"), state.positive("rps"), state.positive("write_rps"),
-                (int) (1024 * state.positive("value_kb")), state.count("txn_ops", 8),
-                cloud.positive("rps"), cloud.number("list_lag_s", 0), tuning);
+        Settings settings = new Settings(
+                top.text("node_name"),
+                endpoints.peerNames(),
+                Map.copyOf(teams),
+                List.copyOf(objectives),
+                all.texts("zones"),
+                workers.positive("report_s"),
+                workers.positive("lease_s"),
+                workers.positive("cancel_s"),
+                state.positive("rps"),
+                state.positive("write_rps"),
+                (int) (1024 * state.positive("value_kb")),
+                state.count("txn_ops", 8),
+                cloud.positive("rps"),
+                cloud.number("list_lag_s", 0),
+                tuning);
         return new DeployFile(settings, endpoints);
     }
 
     private static Tuning tuning(TomlFile in) throws SettingsException {
         Tuning d = Tuning.defaults();
-        return new Tuning((long) (1000 * in.number("member_ttl_s", 1, d.memberTtlMs() / 1000.0)),
-                in.number("silent_s", 5, d.silentS()), in.number("idle_s", 1, d.idleS()),
-                in.number("boot_patience", 1, d.bootPatience()), d.sharedCpus());
+        return new Tuning(
+                (long) (1000 * in.number("member_ttl_s", 1, d.memberTtlMs() / 1000.0)),
+                in.number("silent_s", 5, d.silentS()),
+                in.number("idle_s", 1, d.idleS()),
+                in.number("boot_patience", 1, d.bootPatience()),
+                d.sharedCpus());
     }
 }
--- a/src/main/java/dewlane/cli/Main.java
+++ b/src/main/java/dewlane/cli/Main.java
@@ -2,9 +2,9 @@
 
 import dewlane.io.Node;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.security.SecureRandom;
 import java.util.Locale;
-import java.io.PrintWriter;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
@@ -19,14 +19,18 @@
     private static final int WRONG_SETTINGS = 2;
     private static final String WARM_UP = "warm-up";
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         CommandLine line;
         try {
-            line = DefaultParser.builder().setAllowPartialMatching(false).build().parse(options(), args);
+            line = DefaultParser.builder()
+                    .setAllowPartialMatching(false)
+                    .build()
+                    .parse(options(), args);
             if (!line.getArgList().isEmpty()) {
-                throw new ParseException("Unknown argument: " + line.getArgList().get(0));
+                throw new ParseException(
+                        "Unknown argument: " + line.getArgList().get(0));
             }
         } catch (ParseException e) {
             wrongUsage(e.getMessage());
@@ -47,19 +51,43 @@
 
     private static Options options() {
         return new Options()
-                .addOption(Option.builder().longOpt("config").hasArg().argName("FILE")
-                        .desc("the deployment's settings (TOML), required").build())
-                .addOption(Option.builder().longOpt("operators").hasArg().argName("FILE")
-                        .desc("the operators' own settings (TOML), optional").build())
-                .addOption(Option.builder().longOpt(WARM_UP).desc("only for the build: loads what a start needs, and exits").build())
-                .addOption(Option.builder("h").longOpt("help").desc("prints this and exits").build())
-                .addOption(Option.builder("V").longOpt("version").desc("prints the version and exits").build());
+                .addOption(Option.builder()
+                        .longOpt("config")
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("the deployment's settings (TOML), required")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("operators")
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("the operators' own settings (TOML), optional")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt(WARM_UP)
+                        .desc("only for the build: loads what a start needs, and exits")
+                        .build())
+                .addOption(Option.builder("h")
+                        .longOpt("help")
+                        .desc("prints this and exits")
+                        .build())
+                .addOption(Option.builder("V")
+                        .longOpt("version")
+                        .desc("prints the version and exits")
+                        .build());
     }
 
     private static void usage(PrintWriter to) {
         HelpFormatter help = new HelpFormatter();
-        help.printHelp(to, 100, "dewlane --config FILE [--operators FILE]",
-                "Schedules jobs on rented machines, as one of a set of controllers.", options(), 2, 2, "");
+        help.printHelp(
+                to,
+                100,
+                "dewlane --config FILE [--operators FILE]",
+                "Schedules jobs on rented machines, as one of a set of controllers.",
+                options(),
+                2,
+                2,
+                "");
         to.flush();
     }
 
--- a/src/main/java/dewlane/cli/TomlFile.java
+++ b/src/main/java/dewlane/cli/TomlFile.java
@@ -29,7 +29,8 @@
         } catch (IOException | InvalidPathException e) {
             throw new SettingsException(file + ": cannot be read");
         } catch (ParsingException e) {
-            throw new SettingsException(file + ": is not TOML: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            throw new SettingsException(file + ": is not TOML: "
+                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -26,7 +26,7 @@
 final class WarmUp {
     private static final String TYPE = "any";
 
-    private WarmUp() { }
+    private WarmUp() {}
 
     static void run() {
         Main.configureLog();
@@ -41,27 +41,71 @@
     }
 
     private static Settings settings() {
-        return new Settings("self", List.of(), Map.of("team", new Settings.Team("team", 1, 0, 2, 0)), List.of(),
+        return new Settings(
+                "self",
+                List.of(),
+                Map.of("team", new Settings.Team("team", 1, 0, 2, 0)),
+                List.of(),
                 List.of("zone"),
-                3, 30, 60, 100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults());
+                3,
+                30,
+                60,
+                100,
+                100,
+                16_384,
+                16,
+                5,
+                5,
+                Settings.Tuning.defaults());
     }
 
     /** A controller that joins, takes a job and launches it, with every answer of the state service made up. */
     private static void core() throws IOException {
         Controller controller = new Controller(settings(), 1);
-        Job job = new Job("wk-1", "lot", "team", Priority.HIGH, 2, 1, 0, 1, "image", 1, List.of(), null,
-                false, false, true, 10, 0, 0, 0, 0);
+        Job job = new Job(
+                "wk-1",
+                "lot",
+                "team",
+                Priority.HIGH,
+                2,
+                1,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                10,
+                0,
+                0,
+                0,
+                0);
         Value map = new Value.ClusterMap(1, List.of(new Value.Member("self", 1)), Map.of());
         Value slice = new Value.Slice("self", 0, 2, 0, new BitSet(), List.of(new Attempt(1, 1, "m", 1, 1, 1)));
-        List<Input> inputs = List.of(new Input.Tick(), new Input.LeaseGranted(1), new Input.StateListed(List.of(), 1, 1),
+        List<Input> inputs = List.of(
+                new Input.Tick(),
+                new Input.LeaseGranted(1),
+                new Input.StateListed(List.of(), 1, 1),
                 new Input.CatalogRead(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
-                new Input.Tick(), new Input.TxnAnswer(1, Txn.Status.COMMITTED, 2),
-                new Input.Changes(List.of(new Input.Change(Keys.MAP, map, 2)), 2), new Input.Tick(),
-                new Input.Submit(1, job.id(), job, null), new Input.TxnAnswer(2, Txn.Status.COMMITTED, 3),
-                new Input.Changes(List.of(new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, List.of(), 0), 3),
-                        new Input.Change(Keys.slice(job.id(), 0), slice, 3)), 3),
+                new Input.Tick(),
+                new Input.TxnAnswer(1, Txn.Status.COMMITTED, 2),
+                new Input.Changes(List.of(new Input.Change(Keys.MAP, map, 2)), 2),
+                new Input.Tick(),
+                new Input.Submit(1, job.id(), job, null),
+                new Input.TxnAnswer(2, Txn.Status.COMMITTED, 3),
+                new Input.Changes(
+                        List.of(
+                                new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, List.of(), 0), 3),
+                                new Input.Change(Keys.slice(job.id(), 0), slice, 3)),
+                        3),
                 new Input.ReportReceived(2, new Report("m", "h:1", TYPE, "zone", true, 1, 1, 0, Double.NaN, List.of())),
-                new Input.Tick(), new Input.Poll(3, job.id()), new Input.ValueRead(1, true, null, 0), new Input.Tick());
+                new Input.Tick(),
+                new Input.Poll(3, job.id()),
+                new Input.ValueRead(1, true, null, 0),
+                new Input.Tick());
         long now = 0;
         for (Input input : inputs) {
             now += 200;
--- a/src/main/java/dewlane/core/Attempt.java
+++ b/src/main/java/dewlane/core/Attempt.java
@@ -8,4 +8,4 @@
  * @param session the worker's session at launch
  * @param token the only token under which this launch is ever commanded
  */
-public record Attempt(int task, int number, String machine, long session, long token, long launchedMs) { }
+public record Attempt(int task, int number, String machine, long session, long token, long launchedMs) {}
--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -23,10 +23,12 @@
     private static final int MOST_ORDERS = 400;
     /** A worker that cannot reach its owner comes round again within this time. */
     private static final long STRAY_MS = 30_000;
+
     private static final long OWNER_HEARD_MS = 4000;
     private static final long SETTLE_MS = 10_000;
     /** How often a suspected machine is asked for a sign that it hears. */
     private static final long PROBE_MS = 2000;
+
     private static final long RESEND_MS = 2000;
 
     private final Context context;
@@ -38,8 +40,14 @@
     private final Counters counters;
     private final String self;
 
-    Attempts(Context context, Replica replica, Machines machines, Membership membership, Placement placement,
-             Cancellations cancellations, Counters counters) {
+    Attempts(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            Placement placement,
+            Cancellations cancellations,
+            Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -58,7 +66,10 @@
      */
     void report(long id, Report r) {
         counters.reports++;
-        if (!membership.joined() || membership.superseded() || !cancellations.mayRenewLeases() || membership.isolated()) {
+        if (!membership.joined()
+                || membership.superseded()
+                || !cancellations.mayRenewLeases()
+                || membership.isolated()) {
             refuse(id);
             return;
         }
@@ -163,8 +174,8 @@
     }
 
     /**
-     * Decides what the report says about whether the machine hears this controller. The answer to a command shows it.
-     * A report shows it as long as they come in time and each shows what the answer to the last one gave; else the
+     * Decides what the report says about whether the machine hears this controller. The answer to a command shows it. A
+     * report shows it as long as they come in time and each shows what the answer to the last one gave; else the
      * machine is suspected, gets no further tasks, and is asked.
      */
     private void hear(Machine m, Report r, boolean answer) {
@@ -174,14 +185,18 @@
             Live l = m.live.get(k);
             missed |= l != null && l.attempt.session() == r.session() && !m.reported.containsKey(k);
         }
-        boolean sure = answer || (m.suspectedSince != 0 ? r.token() >= m.challenge : !missed && m.heardWithin(now, context.settings().heardMs()));
+        boolean sure = answer
+                || (m.suspectedSince != 0
+                        ? r.token() >= m.challenge
+                        : !missed && m.heardWithin(now, context.settings().heardMs()));
         if (sure) {
             m.confirm(now);
             m.returned &= replica.machines().containsKey(m.name);
             notice(m, r);
         } else if (m.suspectedSince == 0) {
             counters.suspicions++;
-            context.debug("machine " + m.name + " is heard but may not hear: " + (missed ? "missed an answer" : "was silent"));
+            context.debug("machine " + m.name + " is heard but may not hear: "
+                    + (missed ? "missed an answer" : "was silent"));
             m.suspect(now);
         }
     }
@@ -231,8 +246,8 @@
             work.errors++;
             work.failedOn.add(m.name);
             work.notBefore = context.now() + Math.min(30_000, 250L << Math.min(work.errors, 7));
-            context.info("task " + l.job.id + "/" + l.attempt.task() + " failed on " + m.name
-                    + " (" + work.errors + " failures of the job, " + m.failedJobs.size() + " jobs on the machine)");
+            context.info("task " + l.job.id + "/" + l.attempt.task() + " failed on " + m.name + " (" + work.errors
+                    + " failures of the job, " + m.failedJobs.size() + " jobs on the machine)");
         } else if (outcome == Outcome.REFUSED) {
             machines.work(l.job.id).notBefore = context.now() + 1000;
         }
@@ -250,8 +265,10 @@
         boolean raise = m.unsure && !forget.isEmpty();
         for (Live l : m.live.values()) {
             // A launch that may still be on its way must not arrive after its job's cancellation.
-            raise |= cancellations.ended(l.job) && !m.reported.containsKey(l.key)
-                    && l.attempt.session() == m.session && l.attempt.token() == m.token();
+            raise |= cancellations.ended(l.job)
+                    && !m.reported.containsKey(l.key)
+                    && l.attempt.session() == m.session
+                    && l.attempt.token() == m.token();
         }
         if (raise) {
             m.raiseFence();
@@ -284,9 +301,13 @@
         TaskState t = m.reported.get(l.key);
         Attempt a = l.attempt;
         if (t == null) {
-            // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a launch
+            // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a
+            // launch
             // written long ago must not be sent on a view that may lack its job's cancellation.
-            boolean mayLaunch = cancellations.mayLaunch() && !cancellations.ended(l.job) && a.session() == m.session && a.token() == m.token()
+            boolean mayLaunch = cancellations.mayLaunch()
+                    && !cancellations.ended(l.job)
+                    && a.session() == m.session
+                    && a.token() == m.token()
                     && !machines.work(l.job.id).outcomes.containsKey(l.key);
             return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
         }
@@ -297,7 +318,8 @@
             return new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), 0);
         }
         Double grace = m.stops.get(l.key);
-        return grace == null || t.phase() == Phase.SAVING ? null
+        return grace == null || t.phase() == Phase.SAVING
+                ? null
                 : new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), grace);
     }
 
@@ -333,7 +355,8 @@
             }
             List<Order> orders = orders(m, false);
             boolean urgent = orders.stream().anyMatch(o -> o.kind() != Order.Kind.FORGET);
-            boolean probe = m.suspectedSince != 0 && context.now() - m.probedAt > PROBE_MS
+            boolean probe = m.suspectedSince != 0
+                    && context.now() - m.probedAt > PROBE_MS
                     && (m.tokenLate && !m.live.isEmpty() || m.sequence > 0);
             if (urgent || probe) {
                 counters.commands++;
@@ -354,7 +377,8 @@
     /** Looks again at suspected machines, or ones with tasks that are still to show: an order may have been lost. */
     void tick() {
         for (Machine m : machines.own()) {
-            if (m.suspectedSince != 0 || !m.stops.isEmpty()
+            if (m.suspectedSince != 0
+                    || !m.stops.isEmpty()
                     || m.live.values().stream().anyMatch(l -> !l.over && !m.reported.containsKey(l.key))) {
                 machines.touch(m);
             }
--- a/src/main/java/dewlane/core/Cancellations.java
+++ b/src/main/java/dewlane/core/Cancellations.java
@@ -10,17 +10,20 @@
 /**
  * What this controller knows of cancellations, and how stale that knowledge may be.
  *
- * <p>A cancellation is confirmed by any controller, so one that misses it must not keep its tasks alive. The view is as of
- * the moment at which the latest answered watch, or the listing before it, was asked for: everything older is in the replica.
- * That some other request was answered, such as a lease's renewal, proves nothing about it, nor does the arrival of an
- * answer that lay in a buffer while the process stood still. A report is answered only while the view is so young that
- * the lease which the answer renews still ends within {@code cancel_s} of any cancellation that may be missing from it.
+ * <p>A cancellation is confirmed by any controller, so one that misses it must not keep its tasks alive. The view is as
+ * of the moment at which the latest answered watch, or the listing before it, was asked for: everything older is in the
+ * replica. That some other request was answered, such as a lease's renewal, proves nothing about it, nor does the
+ * arrival of an answer that lay in a buffer while the process stood still. A report is answered only while the view is
+ * so young that the lease which the answer renews still ends within {@code cancel_s} of any cancellation that may be
+ * missing from it.
  *
- * <p>Peers tell what they confirmed. That only adds speed: a task of a job that is durably cancelled may always be stopped.
+ * <p>Peers tell what they confirmed. That only adds speed: a task of a job that is durably cancelled may always be
+ * stopped.
  */
 final class Cancellations {
     /** For the drift of two clocks, and for the time a worker takes to end what its lease no longer covers. */
     private static final long MARGIN_MS = 1000;
+
     private static final double DRIFT = 0.001;
     /** A view is at least so old now and then in ordinary service, so reports are answered all the same. */
     private static final long LEAST_RENEW_MS = 3000;
@@ -36,6 +39,7 @@
     private final Map<String, Long> knownSince = new LinkedHashMap<>();
     /** Those that this controller confirmed itself. */
     private final Map<String, Long> confirmedAt = new LinkedHashMap<>();
+
     private long viewAt = Long.MIN_VALUE / 2;
     private boolean news;
 
@@ -78,7 +82,9 @@
         return job.job() == null || job.aborted() || knownSince.containsKey(job.id);
     }
 
-    /** For how long the job has been cancelled at least; 0 if it is not known to be. Times of day only make it longer. */
+    /**
+     * For how long the job has been cancelled at least; 0 if it is not known to be. Times of day only make it longer.
+     */
     long cancelledForMs(JobEntry job) {
         Long since = knownSince.get(job.id);
         long known = since == null ? 0 : context.now() - since;
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -7,15 +7,17 @@
 import java.util.List;
 
 /**
- * The core of one controller: takes messages with the time of their arrival and gives back what is to be done. It
- * reads no clock and no socket, so the same messages at the same times always have the same effects.
+ * The core of one controller: takes messages with the time of their arrival and gives back what is to be done. It reads
+ * no clock and no socket, so the same messages at the same times always have the same effects.
  */
 public final class Controller {
     /** Messages that come close together are answered by one pass; with no news there is one now and then. */
     private static final long PASS_MS = 80;
+
     private static final long QUIET_PASS_MS = 300;
     /** Machines that one message to a peer tells of: a controller that is alone for a while may have all of them. */
     private static final int MACHINES_A_PAGE = 300;
+
     private static final long SLOW_MS = 1000;
     private static final long MOST_SLOWER = 2;
 
@@ -38,6 +40,7 @@
     private long listedAt;
     /** When the watch under way, or the listing before it, was asked for: its answer shows all that was by then. */
     private long watchedAt;
+
     private boolean loaded;
     private long loadedFrom;
     private boolean dirty;
@@ -54,8 +57,8 @@
         Quota quota = new Quota(settings, replica, machines);
         Dealer dealer = new Dealer(context, replica, machines, quota);
         lending = new Lending(context, replica, membership, quota, dealer);
-        placement = new Placement(context, replica, machines, membership, transactions, release, quota, dealer,
-                cancellations, counters);
+        placement = new Placement(
+                context, replica, machines, membership, transactions, release, quota, dealer, cancellations, counters);
         attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
         health = new Health(context, replica, machines, membership, transactions, cancellations);
         returns = new Returns(context, replica, machines, membership, transactions, placement);
@@ -181,7 +184,10 @@
             lending.tick();
             returns.tick();
             // What peers are told costs each of them something, so the more there are, the seldomer.
-            if (context.now() - toldAt >= Math.min(SLOW_MS * MOST_SLOWER, SLOW_MS * context.settings().peers().size() / 3)) {
+            if (context.now() - toldAt
+                    >= Math.min(
+                            SLOW_MS * MOST_SLOWER,
+                            SLOW_MS * context.settings().peers().size() / 3)) {
                 toldAt = context.now();
                 tellPeers();
             }
@@ -285,7 +291,11 @@
     }
 
     private PeerStatus status(List<PeerMachine> page) {
-        return new PeerStatus(context.settings().node(), replica.map().epoch(), membership.silence() < 2000,
-                cancellations.toTell(), page);
+        return new PeerStatus(
+                context.settings().node(),
+                replica.map().epoch(),
+                membership.silence() < 2000,
+                cancellations.toTell(),
+                page);
     }
 }
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -30,15 +30,22 @@
     private String byUrgency() {
         StringBuilder text = new StringBuilder();
         for (TransactionQueue.Urgency u : TransactionQueue.Urgency.values()) {
-            text.append(text.length() == 0 ? "" : ", ").append(u.name().toLowerCase(Locale.ROOT)).append(' ').append(changesBy[u.ordinal()]);
+            text.append(text.length() == 0 ? "" : ", ")
+                    .append(u.name().toLowerCase(Locale.ROOT))
+                    .append(' ')
+                    .append(changesBy[u.ordinal()]);
         }
         return text.toString();
     }
 
     String text() {
-        return "reports " + reports + ", changes seen " + changesSeen + " with " + attemptsSeen + " attempts, passes " + passes
-                + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands + ", probes "
-                + probes + ", suspicions " + suspicions + ", handed on " + handed + ", writes " + writes + " of " + changesWritten
-                + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts + ", refused " + refused;
+        return "reports " + reports + ", changes seen " + changesSeen + " with " + attemptsSeen + " attempts, passes "
+                + passes
+                + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands
+                + ", probes "
+                + probes + ", suspicions " + suspicions + ", handed on " + handed + ", writes " + writes + " of "
+                + changesWritten
+                + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts
+                + ", refused " + refused;
     }
 }
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/Dealer.java
@@ -18,7 +18,7 @@
     private static final int WAITING_SLICE = 150;
 
     /** A part, the tasks it has room for, and that less what waits there already. */
-    record Offer(String node, int room, double spare) { }
+    record Offer(String node, int room, double spare) {}
 
     /** How long a count of the parts' room is good enough. */
     private static final long KEEP_MS = 250;
@@ -27,7 +27,7 @@
     private static final long COURTESY_MS = 30_000;
 
     /** Jobs that ask the same. */
-    private record Asked(Job.Shape shape, Priority priority, String team, boolean waitedLong) { }
+    private record Asked(Job.Shape shape, Priority priority, String team, boolean waitedLong) {}
 
     private final Context context;
     private final Replica replica;
@@ -36,6 +36,7 @@
     private final Map<Asked, List<Offer>> counted = new HashMap<>();
     /** By shape, the tasks that each part has room for. */
     private final Map<Job.Shape, int[]> rooms = new HashMap<>();
+
     private long countedAt = Long.MIN_VALUE / 2;
     private long countedFor;
 
@@ -49,8 +50,8 @@
     /** What each part offers a job, the one with the most to spare first; asked again soon, it is as it was. */
     private List<Offer> offers(Job job, Job.Shape shape) {
         keepFresh();
-        return counted.computeIfAbsent(new Asked(shape, job.priority(), job.team(), waitedLong(job)),
-                a -> count(job, shape));
+        return counted.computeIfAbsent(
+                new Asked(shape, job.priority(), job.team(), waitedLong(job)), a -> count(job, shape));
     }
 
     /** Tasks of the job that each part of the map has room for. */
@@ -95,7 +96,8 @@
                     double each = other.job().cpus() / Math.max(0.001, job.cpus());
                     waiting[part] += left * each;
                     if (waitedLong && rooms[part] > 0) {
-                        taking[part] += Math.min(left, usable(other, members.get(part).name(), part)) * each;
+                        taking[part] +=
+                                Math.min(left, usable(other, members.get(part).name(), part)) * each;
                     }
                 }
             }
@@ -105,7 +107,8 @@
             String node = members.get(i).name();
             int allowed = quota.room(job, node);
             double spare = Math.min(rooms[i] - waiting[i], allowed);
-            // Large tasks need all that comes free; but a job that has waited for long leaves others no more than they can
+            // Large tasks need all that comes free; but a job that has waited for long leaves others no more than they
+            // can
             // use now, or it would wait beside room for good.
             double room = waitedLong ? Math.min(rooms[i] - taking[i], allowed) : spare;
             offers.add(new Offer(node, (int) Math.max(0, Math.floor(room)), spare));
@@ -137,7 +140,9 @@
             return false;
         }
         if (m.owner.equals(context.settings().node())) {
-            return m.heardWithin(context.now(), context.settings().heardMs()) && m.takenAt == 0 && m.suspectedSince == 0;
+            return m.heardWithin(context.now(), context.settings().heardMs())
+                    && m.takenAt == 0
+                    && m.suspectedSince == 0;
         }
         return machines.listedByOwner(m);
     }
@@ -188,6 +193,8 @@
     /** The part with the most room for the job, other than the present one, or null if none has any. */
     Offer better(JobEntry job, String than) {
         return offers(job.job(), job.shape()).stream()
-                .filter(o -> !o.node().equals(than) && o.room() > 0).findFirst().orElse(null);
+                .filter(o -> !o.node().equals(than) && o.room() > 0)
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/dewlane/core/Effect.java
+++ b/src/main/java/dewlane/core/Effect.java
@@ -5,38 +5,37 @@
 /** What the core wants done by the sockets and timers round it. */
 public sealed interface Effect {
 
-    record ListState() implements Effect { }
+    record ListState() implements Effect {}
 
-    record Watch(long since) implements Effect { }
+    record Watch(long since) implements Effect {}
 
-    record SendTxn(long id, Txn txn) implements Effect { }
+    record SendTxn(long id, Txn txn) implements Effect {}
 
-    record GrantLease(long ttlMs) implements Effect { }
+    record GrantLease(long ttlMs) implements Effect {}
 
-    record TouchLease(long lease) implements Effect { }
+    record TouchLease(long lease) implements Effect {}
 
-    record ReadValue(long id, String key) implements Effect { }
+    record ReadValue(long id, String key) implements Effect {}
 
-    record AnswerReport(long id, long token, List<Order> orders) implements Effect { }
+    record AnswerReport(long id, long token, List<Order> orders) implements Effect {}
 
     /** The worker should report to {@code node}, or to any other if null. */
-    record RedirectReport(long id, String node) implements Effect { }
+    record RedirectReport(long id, String node) implements Effect {}
 
-    record RefuseReport(long id) implements Effect { }
+    record RefuseReport(long id) implements Effect {}
 
-    record Command(String machine, String address, long session, long token, List<Order> orders)
-            implements Effect { }
+    record Command(String machine, String address, long session, long token, List<Order> orders) implements Effect {}
 
     /** Answers a user; {@code state} is null unless the status is 200 or 201. */
-    record AnswerUser(long id, int status, JobState state, String reason) implements Effect { }
+    record AnswerUser(long id, int status, JobState state, String reason) implements Effect {}
 
-    record ReadCatalog() implements Effect { }
+    record ReadCatalog() implements Effect {}
 
-    record ListMachines() implements Effect { }
+    record ListMachines() implements Effect {}
 
-    record Rent(String request, String type, String zone, boolean spot, int count) implements Effect { }
+    record Rent(String request, String type, String zone, boolean spot, int count) implements Effect {}
 
-    record Delete(List<String> machines) implements Effect { }
+    record Delete(List<String> machines) implements Effect {}
 
     /** Tells every other controller; a large part takes several pages, as no message may be larger than 64 KiB. */
     record TellPeers(List<PeerStatus> pages) implements Effect {
@@ -46,14 +45,23 @@
     }
 
     /** A line for the log. */
-    record Log(Level level, String text) implements Effect { }
+    record Log(Level level, String text) implements Effect {}
 
     /** Levels of the log. */
-    enum Level { ERROR, INFO, DEBUG }
+    enum Level {
+        ERROR,
+        INFO,
+        DEBUG
+    }
 
     /** A job's state as its user sees it. */
-    record JobState(String job, Condition condition, int done, int running) { }
+    record JobState(String job, Condition condition, int done, int running) {}
 
     /** Conditions of a job. */
-    enum Condition { PENDING, RUNNING, DONE, ABORTED }
+    enum Condition {
+        PENDING,
+        RUNNING,
+        DONE,
+        ABORTED
+    }
 }
--- a/src/main/java/dewlane/core/Fleet.java
+++ b/src/main/java/dewlane/core/Fleet.java
@@ -14,8 +14,8 @@
 import java.util.Set;
 
 /**
- * The leader's care for the fleet: rents for the demand in sight, deletes condemned machines and those that their partition's
- * owner gives back (see {@link Returns}), and records which are proven gone.
+ * The leader's care for the fleet: rents for the demand in sight, deletes condemned machines and those that their
+ * partition's owner gives back (see {@link Returns}), and records which are proven gone.
  */
 final class Fleet {
     private static final long LIST_MS = 2000;
@@ -31,9 +31,9 @@
     /** How much dearer a type counts that other jobs need more. */
     private static final double RIVAL = 0.4;
 
-    private record Rental(String type, String zone, boolean spot, int count, long at) { }
+    private record Rental(String type, String zone, boolean spot, int count, long at) {}
 
-    private record Place(String type, String zone, boolean spot) { }
+    private record Place(String type, String zone, boolean spot) {}
 
     /** Room on machines of one place that are up or on their way. */
     private static final class Bin {
@@ -71,11 +71,13 @@
     private final Map<String, Rental> rentals = new HashMap<>();
     /** Rented machines that have not been seen up yet. */
     private final Map<String, Rental> booting = new LinkedHashMap<>();
+
     private final Map<Place, Long> scarceUntil = new HashMap<>();
     private final Map<String, Long> deletingAt = new HashMap<>();
     private final Map<String, Long> goneAt = new HashMap<>();
     /** Machines that a delete was answered for, or that the cloud calls failed. */
     private final Set<String> gone = new HashSet<>();
+
     private final Set<String> writing = new HashSet<>();
     private final Set<String> up = new HashSet<>();
     private long catalogAt = Long.MIN_VALUE;
@@ -83,8 +85,14 @@
     private long ledSince;
     private boolean planned;
 
-    Fleet(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
-          Placement placement, Quota quota) {
+    Fleet(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            Placement placement,
+            Quota quota) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -125,7 +133,8 @@
         carryOut();
         condemnLate();
         // A new leader first waits for a list, which shows what its predecessor rented.
-        if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty() || now - ledSince > 10_000
+        if (now - ledSince > 1000 * context.settings().listLagS() && !listed.isEmpty()
+                || now - ledSince > 10_000
                 || replica.map().epoch() <= replica.map().members().size()) {
             planned = true;
             rent(unmet());
@@ -139,7 +148,9 @@
             }
         } else {
             // Nothing can have been launched there since; if ever something is there, it ends first.
-            entry.names().stream().filter(name -> !gone.contains(name) && idle(name)).forEach(delete::add);
+            entry.names().stream()
+                    .filter(name -> !gone.contains(name) && idle(name))
+                    .forEach(delete::add);
         }
     }
 
@@ -161,8 +172,9 @@
             } else if (l.state() == ListedMachine.State.RUNNING) {
                 machines.learn(l.name(), l.address(), l.type(), l.zone(), l.spot());
             } else if (!booting.containsKey(l.name()) && !up.contains(l.name()) && !gone.contains(l.name())) {
-                booting.put(l.name(), new Rental(l.type(), l.zone(), l.spot(), 1,
-                        context.now() - (long) (l.ageS() * 1000)));
+                booting.put(
+                        l.name(),
+                        new Rental(l.type(), l.zone(), l.spot(), 1, context.now() - (long) (l.ageS() * 1000)));
             }
         }
         listed.keySet().removeIf(name -> context.now() - listedAt.get(name) > 20_000);
@@ -196,7 +208,8 @@
                     long since = goneAt.computeIfAbsent(entry.key(), k -> context.now());
                     if (context.now() - since < KEEP_GONE_MS / 2) {
                         entry.names().stream().filter(listed::containsKey).forEach(delete::add);
-                    } else if (context.now() - since > KEEP_GONE_MS && entry.names().stream().allMatch(this::idle)) {
+                    } else if (context.now() - since > KEEP_GONE_MS
+                            && entry.names().stream().allMatch(this::idle)) {
                         drop(entry);
                     }
                 }
@@ -259,15 +272,20 @@
     private void condemnLate() {
         booting.forEach((name, rental) -> {
             MachineType type = machines.type(rental.type);
-            double patience = type == null ? 300 : type.bootS() * context.settings().tuning().bootPatience();
-            if (context.now() - rental.at > patience * 1000 && !replica.machines().containsKey(name)) {
+            double patience = type == null
+                    ? 300
+                    : type.bootS() * context.settings().tuning().bootPatience();
+            if (context.now() - rental.at > patience * 1000
+                    && !replica.machines().containsKey(name)) {
                 context.info("machine " + name + " did not come up, to be deleted");
                 record(name, MachineFate.DELETE, "never came up");
             }
         });
     }
 
-    /** Tasks that neither machines that are up nor those on their way have room for, in slots for a whole machine life. */
+    /**
+     * Tasks that neither machines that are up nor those on their way have room for, in slots for a whole machine life.
+     */
     private Map<JobEntry, Double> unmet() {
         // One list a place, so that a job looks only at machines that it may use, and each full one is dropped at once.
         Map<Place, List<Bin>> bins = new LinkedHashMap<>();
@@ -279,8 +297,7 @@
         }
         booting.forEach((name, r) -> {
             MachineType type = machines.type(r.type);
-            if (type != null && !replica.machines().containsKey(name)
-                    && context.now() - r.at < 2000 * type.bootS()) {
+            if (type != null && !replica.machines().containsKey(name) && context.now() - r.at < 2000 * type.bootS()) {
                 add(bins, new Bin(type, r.zone, r.spot, new Use()));
             }
         });
@@ -319,7 +336,8 @@
     }
 
     private static void add(Map<Place, List<Bin>> bins, Bin bin) {
-        bins.computeIfAbsent(new Place(bin.type.name(), bin.zone, bin.spot), p -> new ArrayList<>()).add(bin);
+        bins.computeIfAbsent(new Place(bin.type.name(), bin.zone, bin.spot), p -> new ArrayList<>())
+                .add(bin);
     }
 
     /** Puts tasks into the bins; returns how many find no room. */
@@ -348,8 +366,10 @@
                 return true;
             }
         }
-        return booting.values().stream().anyMatch(r -> machines.type(r.type) != null
-                && machines.type(r.type).holds(shape) && spec.allows(r.type, r.zone, r.spot));
+        return booting.values().stream()
+                .anyMatch(r -> machines.type(r.type) != null
+                        && machines.type(r.type).holds(shape)
+                        && spec.allows(r.type, r.zone, r.spot));
     }
 
     private boolean takesTasks(Machine m) {
@@ -399,11 +419,16 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Place place = new Place(type.name(), zone, spot);
-                    if (fits < 1 || !job.allows(type.name(), zone, spot) || (!spot && !worthOrdinary(job))
+                    if (fits < 1
+                            || !job.allows(type.name(), zone, spot)
+                            || (!spot && !worthOrdinary(job))
                             || scarceUntil.getOrDefault(place, 0L) > context.now()) {
                         continue;
                     }
-                    double cost = type.price(spot) / fits * (1 + RIVAL * machines.rivals(job.shape(), type)) * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
+                    double cost = type.price(spot)
+                            / fits
+                            * (1 + RIVAL * machines.rivals(job.shape(), type))
+                            * (1 + (type.bootS() + job.imageGb() / type.fetchGbPerS()) / 300);
                     if (best == null || cost < bestCost) {
                         best = place;
                         bestCost = cost;
@@ -415,7 +440,8 @@
     }
 
     private boolean worthOrdinary(Job job) {
-        return job.priority() != Priority.IDLE || !job.spot()
+        return job.priority() != Priority.IDLE
+                || !job.spot()
                 || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
     }
 
@@ -429,7 +455,10 @@
     }
 
     private void replace(Replica.MachineEntry entry, MachineFate fate, String reason) {
-        write(entry.key(), entry.version(), new MachineRecord(fate, reason, entry.record().names()));
+        write(
+                entry.key(),
+                entry.version(),
+                new MachineRecord(fate, reason, entry.record().names()));
     }
 
     private void write(String key, long version, MachineRecord record) {
@@ -441,7 +470,10 @@
 
     private void drop(Replica.MachineEntry entry) {
         if (writing.add(entry.key())) {
-            Txn txn = new Txn.Builder().when(entry.key(), entry.version()).delete(entry.key()).build();
+            Txn txn = new Txn.Builder()
+                    .when(entry.key(), entry.version())
+                    .delete(entry.key())
+                    .build();
             transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
                 writing.remove(entry.key());
                 goneAt.remove(entry.key());
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -15,11 +15,16 @@
     /** As many as the cloud deletes at once. */
     private static final int MOST_AT_ONCE = 100;
 
-    /** Parts of {@code cancel_s} after which a silent machine with a cancelled task is condemned, and is deleted outright. */
+    /**
+     * Parts of {@code cancel_s} after which a silent machine with a cancelled task is condemned, and is deleted
+     * outright.
+     */
     private static final double CONDEMN = 0.3;
+
     private static final double DELETE = 0.45;
     /** The same where no record can be written: whoever knows of the cancellation may not be there for long. */
     private static final double DELETE_WITHOUT_STATE = 0.2;
+
     private static final long DELETE_AGAIN_MS = 5000;
     /** A pause between two ticks, which come every second, that only a process that stood still has. */
     private static final long STOOD_STILL_MS = 3000;
@@ -37,8 +42,13 @@
     private long endedAt = Long.MIN_VALUE / 2;
     private long mostSilentAt = Long.MIN_VALUE / 2;
 
-    Health(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
-           Cancellations cancellations) {
+    Health(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -72,7 +82,8 @@
         for (Machine m : machines.own()) {
             if (known(m)) {
                 // Those suspected or just fallen silent count too: they do not all begin at the same moment.
-                if (m.suspectedSince != 0 || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
+                if (m.suspectedSince != 0
+                        || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
                     silent++;
                 } else {
                     heard++;
@@ -116,13 +127,14 @@
     }
 
     private boolean cancelledFor(Live l, double share) {
-        return !l.over && cancellations.cancelledForMs(l.job) > context.settings().cancelS() * 1000 * share;
+        return !l.over
+                && cancellations.cancelledForMs(l.job) > context.settings().cancelS() * 1000 * share;
     }
 
     /**
-     * A machine that hangs, or does not hear, keeps a cancelled task past its time, also while the state service is out for
-     * all or refuses the leader. Its deletion by the cloud needs no record: the machine then is as silent as before, the
-     * record and the proof follow once they can be written, and a name that was deleted already is ignored.
+     * A machine that hangs, or does not hear, keeps a cancelled task past its time, also while the state service is out
+     * for all or refuses the leader. Its deletion by the cloud needs no record: the machine then is as silent as
+     * before, the record and the proof follow once they can be written, and a name that was deleted already is ignored.
      */
     private void endCancelled() {
         if (context.now() - endedAt < DELETE_AGAIN_MS) {
@@ -133,7 +145,8 @@
         double share = membership.silence() > 2000 ? DELETE_WITHOUT_STATE : DELETE;
         List<String> late = new ArrayList<>();
         for (Machine m : machines.own()) {
-            if (silentFor(m) > patience && late.size() < MOST_AT_ONCE
+            if (silentFor(m) > patience
+                    && late.size() < MOST_AT_ONCE
                     && m.live.values().stream().anyMatch(l -> cancelledFor(l, share))) {
                 late.add(m.name);
             }
@@ -156,8 +169,11 @@
     private void condemn(List<String> names, String reason) {
         asking.addAll(names);
         String key = Keys.machines(context.settings().node(), incarnation, ++records);
-        Txn txn = new Txn.Builder().when(key, 0).when(Keys.MAP, replica.mapVersion())
-                .set(key, new MachineRecord(MachineFate.DELETE, reason, names)).build();
+        Txn txn = new Txn.Builder()
+                .when(key, 0)
+                .when(Keys.MAP, replica.mapVersion())
+                .set(key, new MachineRecord(MachineFate.DELETE, reason, names))
+                .build();
         transactions.submit(TransactionQueue.Urgency.OUTCOME, txn, (status, revision) -> asking.removeAll(names));
     }
 }
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -11,11 +11,27 @@
  * @param deadlineS seconds from submission, 0 for none
  * @param acceptedMs time of day at which the job was accepted
  */
-public record Job(String id, String lot, String team, Priority priority, int tasks,
-                  double cpus, double gpus, double memoryGb, String image, double imageGb,
-                  List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-                  double estimateS, double checkpointS, double saveS, double deadlineS,
-                  long acceptedMs) {
+public record Job(
+        String id,
+        String lot,
+        String team,
+        Priority priority,
+        int tasks,
+        double cpus,
+        double gpus,
+        double memoryGb,
+        String image,
+        double imageGb,
+        List<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        double deadlineS,
+        long acceptedMs) {
 
     /** Jobs whose tasks constrain each other's places stay in one slice. */
     public boolean placesLinked() {
@@ -31,13 +47,19 @@
         // Written out, as every job is looked up by its shape in each pass.
         @Override
         public boolean equals(Object o) {
-            return o instanceof Shape s && cpus == s.cpus && gpus == s.gpus && memoryGb == s.memoryGb && spot == s.spot
-                    && types.equals(s.types) && Objects.equals(zone, s.zone);
+            return o instanceof Shape s
+                    && cpus == s.cpus
+                    && gpus == s.gpus
+                    && memoryGb == s.memoryGb
+                    && spot == s.spot
+                    && types.equals(s.types)
+                    && Objects.equals(zone, s.zone);
         }
 
         @Override
         public int hashCode() {
-            return ((Double.hashCode(cpus) * 31 + Double.hashCode(memoryGb)) * 31 + types.hashCode()) * 31 + Objects.hashCode(zone);
+            return ((Double.hashCode(cpus) * 31 + Double.hashCode(memoryGb)) * 31 + types.hashCode()) * 31
+                    + Objects.hashCode(zone);
         }
     }
 
@@ -50,12 +72,30 @@
     }
 
     public boolean allows(String type, String inZone, boolean onSpot) {
-        return allowsType(type) && (zone == null || zone.equals(inZone))
-                && (spot || !onSpot);
+        return allowsType(type) && (zone == null || zone.equals(inZone)) && (spot || !onSpot);
     }
 
     public Job withAccepted(long ms) {
-        return new Job(id, lot, team, priority, tasks, cpus, gpus, memoryGb, image, imageGb, types, zone,
-                oneZone, spread, spot, estimateS, checkpointS, saveS, deadlineS, ms);
+        return new Job(
+                id,
+                lot,
+                team,
+                priority,
+                tasks,
+                cpus,
+                gpus,
+                memoryGb,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS,
+                ms);
     }
 }
--- a/src/main/java/dewlane/core/Keys.java
+++ b/src/main/java/dewlane/core/Keys.java
@@ -6,6 +6,7 @@
     public static final String FINALS = ROOT + "final/";
     /** Keys after this one are read at start. */
     public static final String AFTER_FINALS = ROOT + "final0";
+
     public static final String JOBS = ROOT + "job/";
     public static final String MACHINES = ROOT + "machine/";
     public static final String MAP = ROOT + "map";
@@ -13,7 +14,7 @@
     public static final String SLICES = ROOT + "slice/";
     public static final String TEAMS = ROOT + "team/";
 
-    private Keys() { }
+    private Keys() {}
 
     public static String job(String id) {
         return JOBS + id;
--- a/src/main/java/dewlane/core/Lending.java
+++ b/src/main/java/dewlane/core/Lending.java
@@ -5,15 +5,17 @@
 import java.util.List;
 
 /**
- * Lends what this controller does not use of its share of a team's limit to one whose part has room for work that waits,
- * but whose own share is used up. Without it such work waits while its team is under its limit: seen in the random
- * runs, where one controller had the only machine that fits.
+ * Lends what this controller does not use of its share of a team's limit to one whose part has room for work that
+ * waits, but whose own share is used up. Without it such work waits while its team is under its limit: seen in the
+ * random runs, where one controller had the only machine that fits.
  *
- * <p>The shares stand in the map, which every launch is conditional on, so all controllers change them at the same revision.
+ * <p>The shares stand in the map, which every launch is conditional on, so all controllers change them at the same
+ * revision.
  */
 final class Lending {
     /** So long a job waits before the shares are changed for it, and so long they then stay as they are. */
     private static final long WAIT_MS = 15_000;
+
     private static final long PAUSE_MS = 8000;
 
     private final Context context;
@@ -36,8 +38,13 @@
             return;
         }
         for (JobEntry job : replica.jobs()) {
-            if (job.job() != null && !job.aborted() && context.wall() - job.job().acceptedMs() > WAIT_MS
-                    && quota.divides(job.job()) && job.waiting() > 0 && quota.spare(job.job()) && lendFor(job)) {
+            if (job.job() != null
+                    && !job.aborted()
+                    && context.wall() - job.job().acceptedMs() > WAIT_MS
+                    && quota.divides(job.job())
+                    && job.waiting() > 0
+                    && quota.spare(job.job())
+                    && lendFor(job)) {
                 lentAt = context.now();
                 return;
             }
@@ -65,8 +72,8 @@
                 double lentCpus = Math.min(cpus, tasks * spec.cpus() - quota.spareCpus(spec, other));
                 double lentGpus = Math.min(gpus, tasks * spec.gpus() - quota.spareGpus(spec, other));
                 if (lentCpus > 0 || lentGpus > 0) {
-                    context.info("lending " + other + " " + lentCpus + " CPUs and " + lentGpus + " GPUs of the limit of "
-                            + spec.team() + " for " + job.id);
+                    context.info("lending " + other + " " + lentCpus + " CPUs and " + lentGpus
+                            + " GPUs of the limit of " + spec.team() + " for " + job.id);
                     membership.lend(spec.team(), other, Math.max(0, lentCpus), Math.max(0, lentGpus));
                     return true;
                 }
--- a/src/main/java/dewlane/core/ListedMachine.java
+++ b/src/main/java/dewlane/core/ListedMachine.java
@@ -1,9 +1,13 @@
 package dewlane.core;
 
 /** A machine as the cloud's lagging list shows it. */
-public record ListedMachine(String name, String address, String type, String zone, boolean spot,
-                            State state, double ageS) {
+public record ListedMachine(
+        String name, String address, String type, String zone, boolean spot, State state, double ageS) {
 
     /** The cloud's view of a machine. */
-    public enum State { STARTING, RUNNING, FAILED }
+    public enum State {
+        STARTING,
+        RUNNING,
+        FAILED
+    }
 }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -52,12 +52,14 @@
     long ownerSince;
     /** When this controller first had to do with the machine under the present owner. */
     long since;
+
     String address;
     String type;
     String zone;
     boolean spot;
     /** What the catalog says of the type; null until it is looked up. */
     MachineType kind;
+
     long session;
     long sequence;
     long seal;
@@ -71,12 +73,15 @@
     long challenge;
     /** The token and launches of the latest answer to a report, which the next report must show. */
     long promised;
+
     final Set<Key> promisedLaunches = new HashSet<>();
     /** The start of a peer that last said it hears the machine, and when. */
     String listedBy;
+
     long listedAt;
     /** When the machine's worker first came here although another controller owns it, and with which report. */
     long strayedAt;
+
     long strayedSession;
     long strayedSequence;
     /** It was to be returned when it was last heard of: if it is silent, it is gone as it should be. */
@@ -85,25 +90,30 @@
     boolean leaving;
     /** When the cloud takes the machine away; 0: not announced. */
     long takenAt;
+
     Map<Key, Report.TaskState> reported = Map.of();
 
     private long tokenEpoch;
     private int fence;
     /** A direct launch got no answer, so it may still arrive under the present fence. */
     boolean unsure;
+
     boolean commandInFlight;
     /** The worker has not been told the present owner's token although tasks may be on the machine. */
     boolean tokenLate;
+
     long probedAt;
     final Object2LongOpenHashMap<Key> commanded = new Object2LongOpenHashMap<>();
     /** Attempts to be stopped although their job goes on, and the grace they get. */
     final Map<Key, Double> stops = new HashMap<>();
+
     final Object2LongOpenHashMap<Key> unaccounted = new Object2LongOpenHashMap<>();
 
     /** Jobs of which a task failed here since a task last completed. */
     final Set<String> failedJobs = new HashSet<>();
     /** Images fetched here, most recently used last. */
     private final Object2DoubleLinkedOpenHashMap<String> images = new Object2DoubleLinkedOpenHashMap<>();
+
     private double imageGb;
 
     final Map<Key, Live> live = new LinkedHashMap<>();
@@ -111,6 +121,7 @@
     final Use use = new Use();
     /** Room that this pass keeps for jobs that others were stopped for; null: none. */
     Use kept;
+
     long idleSince;
 
     Machine(String name, long now) {
@@ -187,7 +198,8 @@
         probedAt = 0;
         boolean launchUnderWay = false;
         for (Live l : live.values()) {
-            launchUnderWay |= l.attempt.token() == token() && l.attempt.session() == session && !reported.containsKey(l.key);
+            launchUnderWay |=
+                    l.attempt.token() == token() && l.attempt.session() == session && !reported.containsKey(l.key);
         }
         if (launchUnderWay) {
             challenge = Long.MAX_VALUE;
--- a/src/main/java/dewlane/core/MachineType.java
+++ b/src/main/java/dewlane/core/MachineType.java
@@ -3,9 +3,17 @@
 import java.util.List;
 
 /** An entry of the cloud's catalog. */
-public record MachineType(String name, double cpus, double gpus, double memoryGb, double cacheGb,
-                          double fetchGbPerS, double price, double spotPrice, double bootS,
-                          List<String> zones) {
+public record MachineType(
+        String name,
+        double cpus,
+        double gpus,
+        double memoryGb,
+        double cacheGb,
+        double fetchGbPerS,
+        double price,
+        double spotPrice,
+        double bootS,
+        List<String> zones) {
 
     /** How many tasks of the job fit on an empty machine. */
     public int fits(Job job) {
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -22,7 +22,7 @@
  * replica change by change: nothing here is counted anew.
  */
 final class Machines {
-    private record Rivalry(Job.Shape shape, String type) { }
+    private record Rivalry(Job.Shape shape, String type) {}
 
     private final Context context;
     private final Replica replica;
@@ -32,11 +32,13 @@
     private final Set<Machine> own = new LinkedHashSet<>();
     /** Machines of this part for which there may be something to command. */
     private final Set<Machine> changed = new LinkedHashSet<>();
+
     private final Set<String> gone = new HashSet<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Work> works = new HashMap<>();
     /** Jobs with launches that the replica does not show yet. */
     private final Set<String> settling = new LinkedHashSet<>();
+
     private final Map<String, Use> teamUse = new HashMap<>();
     /** By controller and team. */
     private final Map<String, Map<String, Use>> ownerUse = new HashMap<>();
@@ -46,6 +48,7 @@
     private final Map<Rivalry, Integer> rivals = new HashMap<>();
     /** What the other controllers last said, and when. */
     private final Map<String, PeerStatus> peers = new HashMap<>();
+
     private final Map<String, Long> peersHeardAt = new HashMap<>();
 
     Machines(Context context, Replica replica) {
@@ -196,7 +199,8 @@
             Work work = works.get(job.id);
             if (work != null && after != null && !work.launching.isEmpty()) {
                 work.launching.removeIf(l -> {
-                    boolean seen = l.slice() == slice.number && after.launches() >= l.attempt().number();
+                    boolean seen = l.slice() == slice.number
+                            && after.launches() >= l.attempt().number();
                     if (seen) {
                         uncount(l.machine(), l.spec());
                     }
@@ -340,7 +344,9 @@
                 }
             }
         }
-        works.values().forEach(w -> w.launching.forEach(l -> use(l.spec().team(), self).add(l.spec())));
+        works.values()
+                .forEach(
+                        w -> w.launching.forEach(l -> use(l.spec().team(), self).add(l.spec())));
     }
 
     /** The machine's owner under the present map; one that this controller did not have all along begins anew. */
@@ -403,13 +409,16 @@
 
     /** True if the machine's owner, another controller, said within the last few seconds that it takes tasks. */
     boolean listedByOwner(Machine m) {
-        return m.listedBy != null && m.owner != null && context.now() - m.listedAt <= 5000
+        return m.listedBy != null
+                && m.owner != null
+                && context.now() - m.listedAt <= 5000
                 && m.listedBy.equals(start(m.owner));
     }
 
     /** True if a peer said within the last few seconds that it reaches the state service. */
     boolean peersReachState() {
-        return peers.keySet().stream().anyMatch(node -> peer(node) != null && peer(node).stateReachable());
+        return peers.keySet().stream()
+                .anyMatch(node -> peer(node) != null && peer(node).stateReachable());
     }
 
     /** True if the controller said something within the given time. */
@@ -461,7 +470,9 @@
         int choices = choices(shape);
         for (Job.Shape other : shapes.keySet()) {
             if ((other.cpus() != shape.cpus() || other.memoryGb() != shape.memoryGb())
-                    && type.holds(other) && other.allowsType(type.name()) && choices(other) < choices) {
+                    && type.holds(other)
+                    && other.allowsType(type.name())
+                    && choices(other) < choices) {
                 return 1;
             }
         }
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -36,6 +36,7 @@
     private final Set<String> claims = new HashSet<>();
     /** What is to be lent with the next map: a share's change for this controller and its opposite for another. */
     private final List<Loan> lending = new ArrayList<>();
+
     private long lease;
     private boolean leaseAsked;
     private long touchedAt;
@@ -73,8 +74,8 @@
 
     /**
      * True if this controller reaches neither the state service nor another controller for so long that its lease must
-     * have ended. The others have taken its part over then, and its workers had better go to them; in an outage for
-     * all the others are heard, and the workers are kept.
+     * have ended. The others have taken its part over then, and its workers had better go to them; in an outage for all
+     * the others are heard, and the workers are kept.
      */
     boolean isolated() {
         long ms = context.settings().tuning().memberTtlMs() + ISOLATED_MS;
@@ -152,12 +153,19 @@
     private void join() {
         ClusterMap map = replica.map();
         long epoch = map == null ? 1 : map.epoch() + 1;
-        List<Member> members = map == null ? new ArrayList<>()
-                : map.members().stream().filter(m -> !m.name().equals(self)).collect(Collectors.toCollection(ArrayList::new));
+        List<Member> members = map == null
+                ? new ArrayList<>()
+                : map.members().stream()
+                        .filter(m -> !m.name().equals(self))
+                        .collect(Collectors.toCollection(ArrayList::new));
         members.add(new Member(self, epoch));
-        write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
-                .set(Keys.MAP, next(epoch, members, Map.of()))
-                .setLeased(Keys.presence(self), new Presence(epoch), lease).build(), epoch);
+        write(
+                new Txn.Builder()
+                        .when(Keys.MAP, replica.mapVersion())
+                        .set(Keys.MAP, next(epoch, members, Map.of()))
+                        .setLeased(Keys.presence(self), new Presence(epoch), lease)
+                        .build(),
+                epoch);
     }
 
     private void evictMissing() {
@@ -197,7 +205,10 @@
         claims.add(machine);
     }
 
-    /** Lends another controller some of this one's share of a team's limit; the map says so as soon as it can be written. */
+    /**
+     * Lends another controller some of this one's share of a team's limit; the map says so as soon as it can be
+     * written.
+     */
     void lend(String team, String to, double cpus, double gpus) {
         lending.add(new Loan(team, to, cpus, gpus));
         lending.add(new Loan(team, self, -cpus, -gpus));
@@ -209,26 +220,38 @@
         // One that has left in the meantime would take its loan with it.
         boolean there = lending.stream().allMatch(l -> map.has(l.node()));
         for (Loan l : there ? lending : List.<Loan>of()) {
-            Loan had = loans.stream().filter(o -> o.team().equals(l.team()) && o.node().equals(l.node())).findFirst().orElse(null);
+            Loan had = loans.stream()
+                    .filter(o -> o.team().equals(l.team()) && o.node().equals(l.node()))
+                    .findFirst()
+                    .orElse(null);
             loans.remove(had);
             loans.add(had == null ? l : new Loan(l.team(), l.node(), had.cpus() + l.cpus(), had.gpus() + l.gpus()));
         }
         lending.clear();
-        write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
-                .set(Keys.MAP, new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans))).build(), joinedAs);
+        write(
+                new Txn.Builder()
+                        .when(Keys.MAP, replica.mapVersion())
+                        .set(Keys.MAP, new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans)))
+                        .build(),
+                joinedAs);
     }
 
     private void takeOver() {
         ClusterMap map = replica.map();
-        claims.removeIf(m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
+        claims.removeIf(
+                m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
         if (!claims.isEmpty() && context.now() - claimedAt > CLAIM_MS) {
             claimedAt = context.now();
             context.info("taking over machines that cannot reach their controller: " + claims);
             Map<String, String> claimed = new HashMap<>();
             claims.stream().limit(MOST_MOVED).forEach(m -> claimed.put(m, self));
             claims.removeAll(claimed.keySet());
-            write(new Txn.Builder().when(Keys.MAP, replica.mapVersion())
-                    .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed)).build(), joinedAs);
+            write(
+                    new Txn.Builder()
+                            .when(Keys.MAP, replica.mapVersion())
+                            .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed))
+                            .build(),
+                    joinedAs);
         }
     }
 
@@ -244,7 +267,11 @@
         }
         // Shares are of as many controllers as there are.
         boolean same = replica.map() != null && members.equals(replica.map().members());
-        return new ClusterMap(epoch, List.copyOf(members), Map.copyOf(moved), same ? replica.map().loans() : List.of());
+        return new ClusterMap(
+                epoch,
+                List.copyOf(members),
+                Map.copyOf(moved),
+                same ? replica.map().loans() : List.of());
     }
 
     private void write(Txn txn, long incarnation) {
--- a/src/main/java/dewlane/core/Order.java
+++ b/src/main/java/dewlane/core/Order.java
@@ -4,5 +4,9 @@
 public record Order(Kind kind, String job, int task, int attempt, double graceS) {
 
     /** What to do with the attempt. */
-    public enum Kind { LAUNCH, STOP, FORGET }
+    public enum Kind {
+        LAUNCH,
+        STOP,
+        FORGET
+    }
 }
--- a/src/main/java/dewlane/core/Parts.java
+++ b/src/main/java/dewlane/core/Parts.java
@@ -10,7 +10,7 @@
  * moves only its own machines.
  */
 public final class Parts {
-    private Parts() { }
+    private Parts() {}
 
     /** The controller whose part a machine or a key belongs to, or null without a map. */
     public static String owner(ClusterMap map, String name) {
@@ -24,8 +24,8 @@
         String best = null;
         long bestWeight = 0;
         for (Member member : map.members()) {
-            long weight = HashCommon.murmurHash3(
-                    ((long) name.hashCode() << 32) ^ HashCommon.mix(member.name().hashCode()));
+            long weight = HashCommon.murmurHash3(((long) name.hashCode() << 32)
+                    ^ HashCommon.mix(member.name().hashCode()));
             if (best == null || weight > bestWeight) {
                 best = member.name();
                 bestWeight = weight;
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -38,6 +38,7 @@
     private static final int OTHER_GUARDS = 8;
     /** How long outcomes gather, and how long while the rate of changes is short. */
     private static final long GATHER_MS = 1000;
+
     private static final long GATHER_SCARCE_MS = 5000;
     /** The same where the team's limit is lent by what is durable. */
     private static final long GATHER_LENT_MS = 3000;
@@ -46,7 +47,7 @@
     /** Seconds of fetching that are worth leaving an ordinary machine idle, so that it can be returned. */
     private static final double ORDINARY_S = 1.5;
 
-    private record Candidate(Machine machine, double cost) { }
+    private record Candidate(Machine machine, double cost) {}
 
     private final Context context;
     private final Replica replica;
@@ -67,8 +68,17 @@
     /** Shapes for which this pass found no room. */
     private final Set<Job.Shape> full = new HashSet<>();
 
-    Placement(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
-              Release release, Quota quota, Dealer dealer, Cancellations cancellations, Counters counters) {
+    Placement(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            Release release,
+            Quota quota,
+            Dealer dealer,
+            Cancellations cancellations,
+            Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -86,17 +96,24 @@
 
     /** True if the machine, which must be of this part, can be given tasks. */
     boolean takesTasks(Machine m) {
-        return !m.leaving && m.type != null && machines.type(m) != null && m.takenAt == 0 && m.suspectedSince == 0
-                && m.heardWithin(context.now(), context.settings().heardMs()) && reports(m)
-                && (m.failedJobs.isEmpty() || !machines.faulty(m)) && !replica.machines().containsKey(m.name);
+        return !m.leaving
+                && m.type != null
+                && machines.type(m) != null
+                && m.takenAt == 0
+                && m.suspectedSince == 0
+                && m.heardWithin(context.now(), context.settings().heardMs())
+                && reports(m)
+                && (m.failedJobs.isEmpty() || !machines.faulty(m))
+                && !replica.machines().containsKey(m.name);
     }
 
     /**
-     * A machine that answers commands but whose reports do not come loses all its tasks when its lease ends. One that has
-     * just got this owner has some time to find it.
+     * A machine that answers commands but whose reports do not come loses all its tasks when its lease ends. One that
+     * has just got this owner has some time to find it.
      */
     private boolean reports(Machine m) {
-        return context.now() - Math.max(m.reportedAt, m.ownerSince) < context.settings().leaseS() * 500;
+        return context.now() - Math.max(m.reportedAt, m.ownerSince)
+                < context.settings().leaseS() * 500;
     }
 
     /** Machines of this part that take tasks, as of the latest pass. */
@@ -146,7 +163,8 @@
         Set<String> guaranteed = quota.guaranteed(order);
         order.removeIf(j -> !hasToDo(j));
         order.sort(Comparator.comparing((JobEntry j) -> guaranteed.contains(j.id))
-                .thenComparing(j -> j.job().priority()).reversed());
+                .thenComparing(j -> j.job().priority())
+                .reversed());
         preemption.begin(usable, guaranteed);
         for (JobEntry job : order) {
             step(job, launches);
@@ -194,7 +212,8 @@
     private void saveInTime(Machine m) {
         for (Live l : m.live.values()) {
             Job job = l.job.job();
-            if (job.checkpointS() > 0 && m.takenAt - context.now() < (job.saveS() + 5) * 1000
+            if (job.checkpointS() > 0
+                    && m.takenAt - context.now() < (job.saveS() + 5) * 1000
                     && m.stops.putIfAbsent(l.key, job.saveS() + 1) == null) {
                 machines.touch(m);
             }
@@ -227,11 +246,15 @@
             }
             finish(job, txn);
         } else {
-            if (!cancellations.ended(job) && launches && context.now() >= work.notBefore && transactions.open(TransactionQueue.Urgency.LAUNCH)) {
+            if (!cancellations.ended(job)
+                    && launches
+                    && context.now() >= work.notBefore
+                    && transactions.open(TransactionQueue.Urgency.LAUNCH)) {
                 decided = launch(job, work, next, txn, launched, room);
             }
             if (decided || !mayGather(job.job(), work, next)) {
-                next.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
+                next.forEach(
+                        (slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
             }
         }
         if (txn.writes() > 0) {
@@ -296,12 +319,14 @@
                 done.set(a.task() - slice.first());
             }
         }
-        return left.size() == slice.attempts().size() ? slice
+        return left.size() == slice.attempts().size()
+                ? slice
                 : new Slice(slice.owner(), slice.first(), slice.count(), slice.launches(), done, List.copyOf(left));
     }
 
     private static boolean noneLive(JobEntry job, Map<SliceEntry, Slice> next) {
-        return job.slices().stream().allMatch(s -> next.getOrDefault(s, s.value()).attempts().isEmpty());
+        return job.slices().stream()
+                .allMatch(s -> next.getOrDefault(s, s.value()).attempts().isEmpty());
     }
 
     private static boolean allDone(JobEntry job, Map<SliceEntry, Slice> next) {
@@ -313,8 +338,13 @@
     }
 
     /** True if something is to be written: launches, or tasks handed to another part. */
-    private boolean launch(JobEntry job, Work work, Map<SliceEntry, Slice> next, Txn.Builder txn,
-                           List<Work.Launch> launched, int roomInWrite) {
+    private boolean launch(
+            JobEntry job,
+            Work work,
+            Map<SliceEntry, Slice> next,
+            Txn.Builder txn,
+            List<Work.Launch> launched,
+            int roomInWrite) {
         Job spec = job.job();
         if (quota.busy(spec)) {
             return false;
@@ -334,7 +364,8 @@
             if (candidates == null) {
                 candidates = full.contains(job.shape()) ? List.of() : candidates(job, spec);
             }
-            int most = Math.min(Math.min(value.waiting(), maxLive - value.attempts().size()), Math.min(room, quota.room(spec)));
+            int most = Math.min(
+                    Math.min(value.waiting(), maxLive - value.attempts().size()), Math.min(room, quota.room(spec)));
             List<Attempt> live = place(job, slice, value, candidates, most, used, launched);
             int unplaced = value.waiting() - (live.size() - value.attempts().size());
             boolean stuck = unplaced > 0 && live.size() - value.attempts().size() < most;
@@ -345,7 +376,15 @@
             boolean handed = false;
             if (live.size() > value.attempts().size()) {
                 room -= live.size();
-                next.put(slice, new Slice(self, value.first(), value.count(), value.launches() + 1, value.done(), List.copyOf(live)));
+                next.put(
+                        slice,
+                        new Slice(
+                                self,
+                                value.first(),
+                                value.count(),
+                                value.launches() + 1,
+                                value.done(),
+                                List.copyOf(live)));
             } else if (launched.isEmpty() && unplaced > 0 && quota.spare(spec)) {
                 handed = handOver(job, work, slice, value, next, txn);
                 anyHanded |= handed;
@@ -367,8 +406,14 @@
     }
 
     /** The slice's attempts with up to {@code most} new ones on the cheapest machines. */
-    private List<Attempt> place(JobEntry job, SliceEntry slice, Slice value, List<Candidate> candidates, int most,
-                                Set<String> used, List<Work.Launch> launched) {
+    private List<Attempt> place(
+            JobEntry job,
+            SliceEntry slice,
+            Slice value,
+            List<Candidate> candidates,
+            int most,
+            Set<String> used,
+            List<Work.Launch> launched) {
         Job spec = job.job();
         List<Attempt> live = new ArrayList<>(value.attempts());
         Map<String, Integer> zones = spec.placesLinked() ? zonesOf(live) : Map.of();
@@ -381,7 +426,9 @@
         int left = most;
         for (Candidate c : candidates) {
             Machine m = c.machine;
-            if (left <= 0 || !used.contains(m.name) && used.size() >= 4 * context.settings().txnOps() - OTHER_GUARDS) {
+            if (left <= 0
+                    || !used.contains(m.name)
+                            && used.size() >= 4 * context.settings().txnOps() - OTHER_GUARDS) {
                 break;
             }
             int here = Math.min(left, m.room(machines.type(m), spec));
@@ -403,11 +450,13 @@
     }
 
     /**
-     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine and all of it finds room,
-     * or else as many of its last tasks as wait there and find room, as a slice of their own. What is on a machine never changes hands this
-     * way, as it counts against the share of its team's limit that this controller has.
+     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine and all of it finds
+     * room, or else as many of its last tasks as wait there and find room, as a slice of their own. What is on a
+     * machine never changes hands this way, as it counts against the share of its team's limit that this controller
+     * has.
      */
-    private boolean handOver(JobEntry job, Work work, SliceEntry slice, Slice value, Map<SliceEntry, Slice> next, Txn.Builder txn) {
+    private boolean handOver(
+            JobEntry job, Work work, SliceEntry slice, Slice value, Map<SliceEntry, Slice> next, Txn.Builder txn) {
         Job spec = job.job();
         if (context.now() - work.handedAt < HANDED_MS || context.now() - work.lookedAt < LOOK_MS) {
             return false;
@@ -419,13 +468,26 @@
         }
         int tail = value.count() - value.taken().length();
         int moved = spec.placesLinked() ? value.count() : Math.min(tail, to.room());
-        // Tasks that wait before others that are done can only go with the whole slice, or they would wait here for ever.
+        // Tasks that wait before others that are done can only go with the whole slice, or they would wait here for
+        // ever.
         if (value.attempts().isEmpty() && (moved == value.count() || tail == 0)) {
-            next.put(slice, new Slice(to.node(), value.first(), value.count(), value.launches(), value.done(), value.attempts()));
-        } else if (moved > 0 && moved < value.count() && job.slices().size() < context.settings().mostSlices()) {
+            next.put(
+                    slice,
+                    new Slice(
+                            to.node(), value.first(), value.count(), value.launches(), value.done(), value.attempts()));
+        } else if (moved > 0
+                && moved < value.count()
+                && job.slices().size() < context.settings().mostSlices()) {
             int first = value.first() + value.count() - moved;
-            next.put(slice, new Slice(value.owner(), value.first(), value.count() - moved, value.launches(),
-                    value.done(), value.attempts()));
+            next.put(
+                    slice,
+                    new Slice(
+                            value.owner(),
+                            value.first(),
+                            value.count() - moved,
+                            value.launches(),
+                            value.done(),
+                            value.attempts()));
             String key = Keys.slice(job.id, job.nextSlice());
             txn.when(key, 0).set(key, new Slice(to.node(), first, moved, value.launches(), new BitSet(), List.of()));
         } else {
@@ -447,14 +509,19 @@
         for (int i = 0; i < Math.min(n, SAMPLE); i++) {
             Machine m = free.get((offset + i) % n);
             MachineType type = machines.type(m);
-            if (m.room(type, spec) < 1 || !spec.allows(m.type, m.zone, m.spot)
+            if (m.room(type, spec) < 1
+                    || !spec.allows(m.type, m.zone, m.spot)
                     || (m.failedJobs.contains(job.id) && !machines.work(job.id).faulty())) {
                 continue;
             }
-            double[] of = byType.computeIfAbsent(m.type, t -> new double[] {
-                    spec.imageGb() / type.fetchGbPerS(), machines.rivals(job.shape(), type) * RIVAL_S});
-            found.add(new Candidate(m, (m.spot ? 0 : ORDINARY_S) + (m.hasImage(spec.image()) ? 0 : of[0]) + of[1]
-                    + 2 * (type.cpus() - m.use.cpus() - spec.cpus()) / type.cpus()));
+            double[] of = byType.computeIfAbsent(m.type, t ->
+                    new double[] {spec.imageGb() / type.fetchGbPerS(), machines.rivals(job.shape(), type) * RIVAL_S});
+            found.add(new Candidate(
+                    m,
+                    (m.spot ? 0 : ORDINARY_S)
+                            + (m.hasImage(spec.image()) ? 0 : of[0])
+                            + of[1]
+                            + 2 * (type.cpus() - m.use.cpus() - spec.cpus()) / type.cpus()));
         }
         found.sort(Comparator.comparingDouble(Candidate::cost));
         return found;
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -23,10 +23,10 @@
 
     private static final int SAMPLE = 64;
 
-    private record Offer(Machine machine, List<Live> victims, double loss) { }
+    private record Offer(Machine machine, List<Live> victims, double loss) {}
 
     /** Jobs with the same claim may stop the same tasks. */
-    private record Claim(Job.Shape shape, Priority priority, boolean guaranteed, String team) { }
+    private record Claim(Job.Shape shape, Priority priority, boolean guaranteed, String team) {}
 
     private final Context context;
     private final Machines machines;
@@ -35,6 +35,7 @@
     private Set<String> guaranteed = Set.of();
     /** What is in use once the stops under way have ended, with the room that is kept for those they were made for. */
     private final Map<Machine, Use> coming = new HashMap<>();
+
     private final List<Machine> keeping = new ArrayList<>();
     /** Claims for which this pass found nothing to stop. */
     private final Set<Claim> hopeless = new HashSet<>();
@@ -170,8 +171,10 @@
         if (theirs.priority().compareTo(job.job().priority()) < 0) {
             return true;
         }
-        return guaranteed.contains(job.id) && !guaranteed.contains(l.job.id)
-                && !theirs.team().equals(job.job().team()) && quota.borrows(theirs);
+        return guaranteed.contains(job.id)
+                && !guaranteed.contains(l.job.id)
+                && !theirs.team().equals(job.job().team())
+                && quota.borrows(theirs);
     }
 
     private double loss(List<Live> lives) {
--- a/src/main/java/dewlane/core/Priority.java
+++ b/src/main/java/dewlane/core/Priority.java
@@ -1,4 +1,9 @@
 package dewlane.core;
 
 /** Priorities, lowest first, so that {@link #compareTo} ranks them. */
-public enum Priority { IDLE, STANDARD, HIGH, CRITICAL }
+public enum Priority {
+    IDLE,
+    STANDARD,
+    HIGH,
+    CRITICAL
+}
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -8,16 +8,17 @@
 import java.util.Set;
 
 /**
- * Keeps every team within its limit, in one of two ways; the settings and the map, which every launch is conditional on,
- * say which, so all controllers agree.
+ * Keeps every team within its limit, in one of two ways; the settings and the map, which every launch is conditional
+ * on, say which, so all controllers agree.
  *
- * <p>A small limit is lent launch by launch: each launch is conditional on the team key and changes it. If the key still
- * has the version that the replica shows, no launch for the team is missing from the replica, so the use counted there,
- * which holds every attempt that is not proven gone, is an upper bound.
+ * <p>A small limit is lent launch by launch: each launch is conditional on the team key and changes it. If the key
+ * still has the version that the replica shows, no launch for the team is missing from the replica, so the use counted
+ * there, which holds every attempt that is not proven gone, is an upper bound.
  *
- * <p>Of a large limit each controller of the map has a share, an equal one at first (see {@link Lending}), and needs no key: what is on machines counts against
- * the owner of its slice, who alone launches there, so a controller knows its own use. Another may come to own more than
- * its share when a controller leaves; it then starts nothing, and the others keep that much of theirs free.
+ * <p>Of a large limit each controller of the map has a share, an equal one at first (see {@link Lending}), and needs no
+ * key: what is on machines counts against the owner of its slice, who alone launches there, so a controller knows its
+ * own use. Another may come to own more than its share when a controller leaves; it then starts nothing, and the others
+ * keep that much of theirs free.
  */
 final class Quota {
     private final Settings settings;
@@ -44,7 +45,8 @@
     private boolean shared(Settings.Team team) {
         int n = replica.map() == null ? 1 : replica.map().members().size();
         double least = settings.tuning().sharedCpus();
-        return (team.cpusMax() <= 0 || team.cpusMax() / n >= least) && (team.gpusMax() <= 0 || team.gpusMax() / n >= least / 4);
+        return (team.cpusMax() <= 0 || team.cpusMax() / n >= least)
+                && (team.gpusMax() <= 0 || team.gpusMax() / n >= least / 4);
     }
 
     /** True if the controllers have shares of the team's limit. */
@@ -84,7 +86,9 @@
         if (team == null) {
             return 0;
         }
-        return limited(job) && shared(team) ? roomInShare(team, job) : machines.use(job.team()).room(team, job);
+        return limited(job) && shared(team)
+                ? roomInShare(team, job)
+                : machines.use(job.team()).room(team, job);
     }
 
     private int roomInShare(Settings.Team team, Job job) {
@@ -111,7 +115,8 @@
         if (!limited(job)) {
             return Integer.MAX_VALUE;
         }
-        return shared(team) ? room(team, job, node, cpusShare(team, node), gpusShare(team, node))
+        return shared(team)
+                ? room(team, job, node, cpusShare(team, node), gpusShare(team, node))
                 : room(job, machines.use(job.team()));
     }
 
@@ -137,7 +142,8 @@
 
     /**
      * The jobs that fit into their team's guarantee along with the team's earlier unfinished jobs. Idle work takes of a
-     * guarantee what the team's other work leaves: its backlog is the oldest there is, and went before all that had a deadline.
+     * guarantee what the team's other work leaves: its backlog is the oldest there is, and went before all that had a
+     * deadline.
      *
      * @param ready unfinished jobs in ready order
      */
--- a/src/main/java/dewlane/core/Release.java
+++ b/src/main/java/dewlane/core/Release.java
@@ -11,12 +11,15 @@
 import java.util.Set;
 
 /**
- * The only way for an item to start: it becomes ready once its source list is empty. A result strikes its item from
- * the source lists of its destinations once; later copies are dropped. A failure passes to all dependants.
+ * The only way for an item to start: it becomes ready once its source list is empty. A result strikes its item from the
+ * source lists of its destinations once; later copies are dropped. A failure passes to all dependants.
  */
 public final class Release {
     /** What became of an item. */
-    public enum Result { DONE, FAILED }
+    public enum Result {
+        DONE,
+        FAILED
+    }
 
     private static final class Item {
         final Set<String> sources = new LinkedHashSet<>();
@@ -75,8 +78,10 @@
                 Item destination = items.get(to);
                 if (result == Result.FAILED) {
                     queue.add(to);
-                } else if (destination.sources.remove(at) && destination.sources.isEmpty()
-                        && destination.known && destination.result == null) {
+                } else if (destination.sources.remove(at)
+                        && destination.sources.isEmpty()
+                        && destination.known
+                        && destination.result == null) {
                     ready.add(to);
                 }
             }
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -18,23 +18,23 @@
 import java.util.function.Consumer;
 
 /**
- * What the state service held at {@link #revision()}. Only the watch changes it, in the order of the revisions, so
- * that whatever it shows is durable and nothing in it is newer than the revision.
+ * What the state service held at {@link #revision()}. Only the watch changes it, in the order of the revisions, so that
+ * whatever it shows is durable and nothing in it is newer than the revision.
  */
 public final class Replica {
     /** What a change of the state service changed here; told after the change is in place. */
     sealed interface Delta {
         /** A slice has another value; null where it is new or gone. */
-        record SliceChanged(JobEntry job, SliceEntry slice, Slice before, Slice after) implements Delta { }
+        record SliceChanged(JobEntry job, SliceEntry slice, Slice before, Slice after) implements Delta {}
 
         /** A job has another record; null where it is new or gone. */
-        record JobChanged(JobEntry job, JobRecord before, JobRecord after) implements Delta { }
+        record JobChanged(JobEntry job, JobRecord before, JobRecord after) implements Delta {}
 
         /** The map is another; {@code complete} if no map between the two was missed. */
-        record MapChanged(ClusterMap before, ClusterMap after, boolean complete) implements Delta { }
+        record MapChanged(ClusterMap before, ClusterMap after, boolean complete) implements Delta {}
 
         /** A machine has a record. */
-        record MachineChanged(String name, MachineRecord after) implements Delta { }
+        record MachineChanged(String name, MachineRecord after) implements Delta {}
     }
 
     /** A job that has a record or slices. */
@@ -183,8 +183,9 @@
         teams.clear();
         mapVersion = 0;
         loading = true;
-        rows.stream().sorted(Comparator.comparing((Input.Row row) -> !row.key().startsWith(Keys.JOBS))
-                .thenComparingLong(Input.Row::version))
+        rows.stream()
+                .sorted(Comparator.comparing((Input.Row row) -> !row.key().startsWith(Keys.JOBS))
+                        .thenComparingLong(Input.Row::version))
                 .forEach(row -> apply(new Input.Change(row.key(), row.value(), row.version())));
         loading = false;
         revision = listedAt;
--- a/src/main/java/dewlane/core/Report.java
+++ b/src/main/java/dewlane/core/Report.java
@@ -7,17 +7,38 @@
  *
  * @param noticeS seconds until the cloud takes the machine away, NaN if it does not
  */
-public record Report(String machine, String address, String type, String zone, boolean spot,
-                     long session, long sequence, long token, double noticeS, List<TaskState> tasks) {
+public record Report(
+        String machine,
+        String address,
+        String type,
+        String zone,
+        boolean spot,
+        long session,
+        long sequence,
+        long token,
+        double noticeS,
+        List<TaskState> tasks) {
 
     /** What the worker says about one attempt. */
-    public record TaskState(String job, int task, int attempt, Phase phase, End end, boolean saved) { }
+    public record TaskState(String job, int task, int attempt, Phase phase, End end, boolean saved) {}
 
     /** Where an attempt is. */
-    public enum Phase { FETCHING, RUNNING, SAVING, EXITED }
+    public enum Phase {
+        FETCHING,
+        RUNNING,
+        SAVING,
+        EXITED
+    }
 
     /** Why an attempt ended. */
-    public enum End { DONE, STOPPED, ERROR, NO_ROOM, BUSY, UNKNOWN }
+    public enum End {
+        DONE,
+        STOPPED,
+        ERROR,
+        NO_ROOM,
+        BUSY,
+        UNKNOWN
+    }
 
     public boolean newerThan(long otherSession, long otherSequence) {
         return session != otherSession ? session > otherSession : sequence > otherSequence;
--- a/src/main/java/dewlane/core/Returns.java
+++ b/src/main/java/dewlane/core/Returns.java
@@ -6,11 +6,11 @@
 import java.util.List;
 
 /**
- * Gives back idle machines of this part, as many as are idle by one record. A record for each cost three changes a machine,
- * and at most four went back in a second: after a day's work hundreds stayed for minutes, at full price.
+ * Gives back idle machines of this part, as many as are idle by one record. A record for each cost three changes a
+ * machine, and at most four went back in a second: after a day's work hundreds stayed for minutes, at full price.
  *
- * <p>The partition's owner alone launches on a machine, and the record is conditional on the map, so nothing can be on the machines
- * once it is written; the leader deletes them.
+ * <p>The partition's owner alone launches on a machine, and the record is conditional on the map, so nothing can be on
+ * the machines once it is written; the leader deletes them.
  */
 final class Returns {
     private static final int MOST_AT_ONCE = 100;
@@ -28,7 +28,12 @@
     private long records;
     private long returnedAt = Long.MIN_VALUE / 2;
 
-    Returns(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
+    Returns(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
             Placement placement) {
         this.context = context;
         this.replica = replica;
@@ -39,15 +44,21 @@
     }
 
     void tick() {
-        if (!membership.joined() || membership.silence() > 2000 || context.now() - returnedAt < GATHER_MS
+        if (!membership.joined()
+                || membership.silence() > 2000
+                || context.now() - returnedAt < GATHER_MS
                 || !transactions.open(TransactionQueue.Urgency.LATER)) {
             return;
         }
-        long idleMs = (long) (context.settings().tuning().idleS() * 1000 * (workWaits() ? PATIENCE_WHILE_WORK_WAITS : 1));
+        long idleMs =
+                (long) (context.settings().tuning().idleS() * 1000 * (workWaits() ? PATIENCE_WHILE_WORK_WAITS : 1));
         List<Machine> idle = new ArrayList<>();
         for (Machine m : machines.own()) {
             // An ordinary machine is dearer, and goes after half the time.
-            if (idle.size() < MOST_AT_ONCE && m.live.isEmpty() && m.use.none() && placement.takesTasks(m)
+            if (idle.size() < MOST_AT_ONCE
+                    && m.live.isEmpty()
+                    && m.use.none()
+                    && placement.takesTasks(m)
                     && context.now() - m.idleSince >= (m.spot ? idleMs : idleMs / 2)) {
                 idle.add(m);
             }
@@ -72,8 +83,11 @@
         context.info("returning idle machines " + names);
         idle.forEach(m -> m.leaving = true);
         String key = Keys.machines(context.settings().node() + "-idle", membership.incarnation(), ++records);
-        Txn txn = new Txn.Builder().when(key, 0).when(Keys.MAP, replica.mapVersion())
-                .set(key, new MachineRecord(MachineFate.RETURN, "idle", names)).build();
+        Txn txn = new Txn.Builder()
+                .when(key, 0)
+                .when(Keys.MAP, replica.mapVersion())
+                .set(key, new MachineRecord(MachineFate.RETURN, "idle", names))
+                .build();
         transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
             if (status != Txn.Status.COMMITTED) {
                 idle.forEach(m -> m.leaving = false);
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -4,11 +4,22 @@
 import java.util.Map;
 
 /** The deploy file and the operators' own settings, as far as the core needs them. */
-public record Settings(String node, List<String> peers, Map<String, Team> teams, List<Objective> objectives,
-                       List<String> zones,
-                       double reportS, double leaseS, double cancelS,
-                       double stateRps, double stateWriteRps, int valueBytes, int txnOps,
-                       double cloudRps, double listLagS, Tuning tuning) {
+public record Settings(
+        String node,
+        List<String> peers,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        List<String> zones,
+        double reportS,
+        double leaseS,
+        double cancelS,
+        double stateRps,
+        double stateWriteRps,
+        int valueBytes,
+        int txnOps,
+        double cloudRps,
+        double listLagS,
+        Tuning tuning) {
 
     /** A team's guarantee and limit; a limit of 0 is none. */
     public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {
@@ -18,7 +29,7 @@
     }
 
     /** An aim of the users for a class of jobs; {@code lot} is null if it is for all. */
-    public record Objective(String kind, String lot, double withinS) { }
+    public record Objective(String kind, String lot, double withinS) {}
 
     /** A machine not heard for so long takes no tasks. */
     public long heardMs() {
@@ -26,8 +37,8 @@
     }
 
     /**
-     * Slices a job may have: its end takes them, the job and the final state in one transaction, and a launch that hands tasks
-     * on writes a new one and the team beside them.
+     * Slices a job may have: its end takes them, the job and the final state in one transaction, and a launch that
+     * hands tasks on writes a new one and the team beside them.
      */
     public int mostSlices() {
         return txnOps - 3;
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -1,23 +1,30 @@
 package dewlane.core;
 
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
-import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap;
 
 /**
  * Sends conditional writes, the most urgent first, under a token bucket below the state service's write rate. What
  * users wait for, and the map, is few and not held up by the bucket; the rest then waits longer.
  *
  * <p>A transaction that got no answer may have been applied or may yet be. It is sent again under the same conditions
- * until the answer is definite; the state service applies it at most once, because it changes a key it is
- * conditional on. A conflict after such a silence may mean that an earlier copy won: whoever sent it must look at the
- * state as of the conflict's revision before deciding anything.
+ * until the answer is definite; the state service applies it at most once, because it changes a key it is conditional
+ * on. A conflict after such a silence may mean that an earlier copy won: whoever sent it must look at the state as of
+ * the conflict's revision before deciding anything.
  */
 public final class TransactionQueue {
     /** How urgent a write is, most urgent first. */
-    public enum Urgency { MEMBERSHIP, SAFETY, USER, OUTCOME, LAUNCH, LATER }
+    public enum Urgency {
+        MEMBERSHIP,
+        SAFETY,
+        USER,
+        OUTCOME,
+        LAUNCH,
+        LATER
+    }
 
     /** Told the definite answer. */
     public interface Listener {
@@ -45,6 +52,7 @@
     private static final int MOST_WAITING = 6;
     /** The part of the burst that is kept for outcomes and users. */
     private static final double RESERVE = 0.25;
+
     private static final double MOST_BOOST = 2.5;
     private static final double BOOST_PER_S = 0.2;
 
@@ -56,6 +64,7 @@
     private long nextId = 1;
     /** Entries of the queue by urgency. */
     private final int[] waiting = new int[Urgency.values().length];
+
     private double tokens;
     private long refilledAt = Long.MIN_VALUE;
     private int share = 1;
@@ -128,7 +137,8 @@
                 entry.tries++;
                 // What users wait for is tried again at once; the rest stays off until there is something to have.
                 long pause = entry.urgency.compareTo(Urgency.USER) > 0 ? 100 : 15;
-                entry.notBefore = context.now() + Math.min(1000, pause << Math.min(entry.tries, 5))
+                entry.notBefore = context.now()
+                        + Math.min(1000, pause << Math.min(entry.tries, 5))
                         + context.random().nextInt((int) pause);
                 enqueue(entry);
             }
--- a/src/main/java/dewlane/core/Txn.java
+++ b/src/main/java/dewlane/core/Txn.java
@@ -7,13 +7,19 @@
 public record Txn(List<Guard> when, List<Write> apply) {
 
     /** The key must have this version; 0: it must not exist. */
-    public record Guard(String key, long version) { }
+    public record Guard(String key, long version) {}
 
     /** Sets the key, or deletes it if the value is null. A lease of 0 attaches it to none. */
-    public record Write(String key, Value value, long lease) { }
+    public record Write(String key, Value value, long lease) {}
 
     /** What the state service said, as far as it said anything. */
-    public enum Status { COMMITTED, CONFLICT, INVALID, REFUSED, UNKNOWN }
+    public enum Status {
+        COMMITTED,
+        CONFLICT,
+        INVALID,
+        REFUSED,
+        UNKNOWN
+    }
 
     /** Collects the parts of a transaction. */
     public static final class Builder {
--- a/src/main/java/dewlane/core/Use.java
+++ b/src/main/java/dewlane/core/Use.java
@@ -8,7 +8,7 @@
     private long gpus;
     private long memory;
 
-    Use() { }
+    Use() {}
 
     Use(Use other) {
         cpus = other.cpus;
@@ -55,7 +55,8 @@
 
     /** How many tasks of the job fit beside this use on a machine of the type. */
     int room(MachineType type, Job job) {
-        return (int) Math.min(most(type.cpus(), cpus, job.cpus()),
+        return (int) Math.min(
+                most(type.cpus(), cpus, job.cpus()),
                 Math.min(most(type.gpus(), gpus, job.gpus()), most(type.memoryGb(), memory, job.memoryGb())));
     }
 
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -9,8 +9,8 @@
 import java.util.function.Consumer;
 
 /**
- * Answers submissions, polls and cancellations. What is not known to be final is read from the state service before
- * it is told, so that no controller shows a state older than one that another has shown.
+ * Answers submissions, polls and cancellations. What is not known to be final is read from the state service before it
+ * is told, so that no controller shows a state older than one that another has shown.
  */
 final class Users {
     private final Context context;
@@ -23,8 +23,14 @@
     private final Long2ObjectOpenHashMap<Consumer<Input.ValueRead>> reads = new Long2ObjectOpenHashMap<>();
     private long nextRead = 1;
 
-    Users(Context context, Replica replica, Machines machines, Membership membership, TransactionQueue transactions,
-          Dealer dealer, Cancellations cancellations) {
+    Users(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            Dealer dealer,
+            Cancellations cancellations) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -45,7 +51,8 @@
             return;
         }
         if (in.job() == null) {
-            // No accepted job was malformed, but only the state service knows of all that are over. Where it does not answer,
+            // No accepted job was malformed, but only the state service knows of all that are over. Where it does not
+            // answer,
             // a body that could never be accepted is told so all the same.
             lookUp(in.id(), in.uid(), () -> reject(in), () -> answer(in.id(), 400, null, in.reason()));
             return;
@@ -74,7 +81,9 @@
             return;
         }
         Job job = in.job().withAccepted(context.wall());
-        Txn.Builder txn = new Txn.Builder().when(Keys.job(job.id()), 0).when(Keys.fin(job.id()), 0)
+        Txn.Builder txn = new Txn.Builder()
+                .when(Keys.job(job.id()), 0)
+                .when(Keys.fin(job.id()), 0)
                 .set(Keys.job(job.id()), new JobRecord(job, dealer.deal(job), 0));
         transactions.submit(TransactionQueue.Urgency.USER, txn.build(), (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
@@ -130,9 +139,11 @@
     private void cancel(Input.Abort in, JobRecord record, long version) {
         Job job = record.job();
         FinalRecord fin = new FinalRecord(true, context.wall());
-        Txn txn = new Txn.Builder().when(Keys.job(job.id()), version)
+        Txn txn = new Txn.Builder()
+                .when(Keys.job(job.id()), version)
                 .set(Keys.job(job.id()), new JobRecord(job, record.deals(), context.wall()))
-                .set(Keys.fin(job.id()), fin).build();
+                .set(Keys.fin(job.id()), fin)
+                .build();
         transactions.submit(TransactionQueue.Urgency.SAFETY, txn, (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 context.info("job " + job.id() + " cancelled");
@@ -151,8 +162,8 @@
     }
 
     /**
-     * Answers with the job's state, or runs {@code unknown} if it was never accepted, or {@code silent} if the state service
-     * says nothing.
+     * Answers with the job's state, or runs {@code unknown} if it was never accepted, or {@code silent} if the state
+     * service says nothing.
      */
     private void lookUp(long id, String job, Runnable unknown, Runnable silent) {
         FinalRecord fin = replica.fin(job);
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -26,7 +26,7 @@
     }
 
     /** The final state of a job; never deleted. */
-    record FinalRecord(boolean aborted, long atMs) implements Value { }
+    record FinalRecord(boolean aborted, long atMs) implements Value {}
 
     /**
      * A run of a job's tasks.
@@ -96,23 +96,23 @@
     }
 
     /** What a controller's share of a team's limit has beyond an equal one, or less if it is negative. */
-    record Loan(String team, String node, double cpus, double gpus) { }
+    record Loan(String team, String node, double cpus, double gpus) {}
 
     /** A controller and the epoch at which it joined. */
-    record Member(String name, long incarnation) { }
+    record Member(String name, long incarnation) {}
 
     /** Attached to a controller's lease: it is there as long as the controller renews. */
-    record Presence(long incarnation) implements Value { }
+    record Presence(long incarnation) implements Value {}
 
     /** Changed by every launch for a team with a limit, so that launches for it are one after the other. */
-    record TeamRecord(double cpus, double gpus) implements Value { }
+    record TeamRecord(double cpus, double gpus) implements Value {}
 
     /**
      * Why no launch may be written for a machine any more.
      *
      * @param names the machines, if the record is about several; else its key names the one
      */
-    record MachineRecord(MachineFate fate, String reason, List<String> names) implements Value { }
+    record MachineRecord(MachineFate fate, String reason, List<String> names) implements Value {}
 
     /** What is to become of a machine. */
     enum MachineFate {
--- a/src/main/java/dewlane/core/Work.java
+++ b/src/main/java/dewlane/core/Work.java
@@ -10,18 +10,26 @@
 /** What this controller is doing for one job: outcomes to make durable, and the write under way. */
 final class Work {
     /** What became of an attempt. */
-    enum Outcome { DONE, STOPPED, ERROR, REFUSED, GONE }
+    enum Outcome {
+        DONE,
+        STOPPED,
+        ERROR,
+        REFUSED,
+        GONE
+    }
 
     final Map<Machine.Key, Outcome> outcomes = new HashMap<>();
     /** When the first of the outcomes came that are still to be made durable. */
     long outcomesSince;
     /** Launches in the write under way, or in one that the replica does not show yet. */
     final List<Launch> launching = new ArrayList<>();
+
     boolean writing;
     /** Nothing is decided before the replica has reached this revision. */
     long settled;
     /** Machines on which a task of the job failed. */
     final Set<String> failedOn = new HashSet<>();
+
     int errors;
     long notBefore;
     long handedAt;
@@ -29,7 +37,7 @@
     long lookedAt;
 
     /** A launch that is not yet seen in the replica. */
-    record Launch(Machine machine, Attempt attempt, int slice, Job spec) { }
+    record Launch(Machine machine, Attempt attempt, int slice, Job spec) {}
 
     /** A job that fails on several machines is itself at fault. */
     boolean faulty() {
--- a/src/main/java/dewlane/io/CloudClient.java
+++ b/src/main/java/dewlane/io/CloudClient.java
@@ -103,7 +103,11 @@
     }
 
     void delete(List<String> machines) {
-        calls.send(Methods.POST, CloudWire.DELETE, CloudWire.delete(machines), CALL_MS, (status, body) ->
-                core.accept(new Input.Deleted(machines, status == 200)));
+        calls.send(
+                Methods.POST,
+                CloudWire.DELETE,
+                CloudWire.delete(machines),
+                CALL_MS,
+                (status, body) -> core.accept(new Input.Deleted(machines, status == 200)));
     }
 }
--- a/src/main/java/dewlane/io/EffectQueue.java
+++ b/src/main/java/dewlane/io/EffectQueue.java
@@ -8,8 +8,8 @@
 
 /**
  * Does what the core wants done, one effect after the other. What an effect itself gives rise to waits for its turn: a
- * controller alone with all machines once had so many commands refused at once that answering each within the other overflowed
- * the stack.
+ * controller alone with all machines once had so many commands refused at once that answering each within the other
+ * overflowed the stack.
  */
 final class EffectQueue {
     private final Deque<Effect> waiting = new ArrayDeque<>();
--- a/src/main/java/dewlane/io/Endpoints.java
+++ b/src/main/java/dewlane/io/Endpoints.java
@@ -8,8 +8,8 @@
  *
  * @param maxSockets how many sockets the process may have open
  */
-public record Endpoints(String listen, String peerListen, Map<String, String> peers, String cloud, String state,
-                        int maxSockets) {
+public record Endpoints(
+        String listen, String peerListen, Map<String, String> peers, String cloud, String state, int maxSockets) {
     /** The part of the sockets that others may open to this controller: reports, users and health checks. */
     private static final double INBOUND = 0.8;
     /** The part for commands to workers. What is left is for the state service, the cloud and the peers. */
--- a/src/main/java/dewlane/io/HttpPool.java
+++ b/src/main/java/dewlane/io/HttpPool.java
@@ -97,7 +97,8 @@
 
     void send(HttpString method, String path, byte[] body, long timeoutMs, Callback callback) {
         Call call = new Call(method, path, body, callback);
-        call.timer = thread.executeAfter(() -> call.end(NO_ANSWER, new byte[0], false), timeoutMs, TimeUnit.MILLISECONDS);
+        call.timer =
+                thread.executeAfter(() -> call.end(NO_ANSWER, new byte[0], false), timeoutMs, TimeUnit.MILLISECONDS);
         waiting.add(call);
         calls++;
         usedAt = System.nanoTime();
@@ -105,8 +106,8 @@
     }
 
     /**
-     * True while a call is under way or waits, or a connection is being opened: to a host without power that lasts long after
-     * the call is over, and holds a socket.
+     * True while a call is under way or waits, or a connection is being opened: to a host without power that lasts long
+     * after the call is over, and holds a socket.
      */
     boolean busy() {
         return calls > 0 || connecting > 0;
@@ -156,29 +157,35 @@
 
     private void connect(Call call) {
         connecting++;
-        UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
-            @Override
-            public void completed(ClientConnection connection) {
-                connecting--;
-                if (call.over && closed) {
-                    open--;
-                    IoUtils.safeClose(connection);
-                } else if (call.over) {
-                    idle.push(connection);
-                    next();
-                } else {
-                    start(call, connection);
-                }
-            }
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<ClientConnection>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                connecting--;
+                                if (call.over && closed) {
+                                    open--;
+                                    IoUtils.safeClose(connection);
+                                } else if (call.over) {
+                                    idle.push(connection);
+                                    next();
+                                } else {
+                                    start(call, connection);
+                                }
+                            }
 
-            @Override
-            public void failed(IOException e) {
-                connecting--;
-                open--;
-                call.end(NO_ANSWER, new byte[0], false);
-                next();
-            }
-        }, uri, thread, buffers, OptionMap.EMPTY);
+                            @Override
+                            public void failed(IOException e) {
+                                connecting--;
+                                open--;
+                                call.end(NO_ANSWER, new byte[0], false);
+                                next();
+                            }
+                        },
+                        uri,
+                        thread,
+                        buffers,
+                        OptionMap.EMPTY);
     }
 
     private void start(Call call, ClientConnection connection) {
@@ -195,8 +202,10 @@
                 exchange.setResponseListener(new ClientCallback<ClientExchange>() {
                     @Override
                     public void completed(ClientExchange answered) {
-                        boolean stays = !"close".equalsIgnoreCase(
-                                answered.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+                        boolean stays = !"close"
+                                .equalsIgnoreCase(answered.getResponse()
+                                        .getResponseHeaders()
+                                        .getFirst(Headers.CONNECTION));
                         read(call, answered.getResponse().getResponseCode(), answered.getResponseChannel(), stays);
                     }
 
@@ -245,8 +254,13 @@
         drain(call, status, channel, bytes, buffer, reusable);
     }
 
-    private void drain(Call call, int status, StreamSourceChannel channel, ByteArrayOutputStream bytes,
-                       ByteBuffer buffer, boolean reusable) {
+    private void drain(
+            Call call,
+            int status,
+            StreamSourceChannel channel,
+            ByteArrayOutputStream bytes,
+            ByteBuffer buffer,
+            boolean reusable) {
         try {
             while (true) {
                 buffer.clear();
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -46,13 +46,14 @@
     private static final long TICK_MS = 100;
     /** Users wait 5 s for an answer, and 2 s when they ask about a job. */
     private static final long USER_MS = 4500;
+
     private static final long POLL_MS = 1800;
     private static final long PEER_MS = 1500;
     private static final long SUMMARY_MS = 60_000;
     private static final int MAX_PENDING = 500;
     private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
 
-    private record Asked(long id, long at) { }
+    private record Asked(long id, long at) {}
 
     private final Settings settings;
     private final Endpoints endpoints;
@@ -67,6 +68,7 @@
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
     /** Requests of users in the order in which they came; most are answered by the time it is looked at. */
     private final Deque<Asked> asked = new ArrayDeque<>();
+
     private final Deque<Asked> polled = new ArrayDeque<>();
     private final EffectQueue effects = new EffectQueue(this::act);
     private final long startedAt = System.nanoTime();
@@ -78,16 +80,22 @@
         this.settings = settings;
         this.endpoints = endpoints;
         this.controller = new Controller(settings, seed);
-        this.worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.THREAD_DAEMON, false)
-                .getMap());
+        this.worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.THREAD_DAEMON, false)
+                        .getMap());
         this.thread = worker.getIoThread();
-        this.state = new StateClient(thread, buffers, endpoints.state(), settings.stateRps(),
-                settings.peers().size() + 1, this::accept);
+        this.state = new StateClient(
+                thread,
+                buffers,
+                endpoints.state(),
+                settings.stateRps(),
+                settings.peers().size() + 1,
+                this::accept);
         this.cloud = new CloudClient(thread, buffers, endpoints.cloud(), this::accept);
         this.workers = new WorkerPools(thread, buffers, endpoints.commands());
         endpoints.peers().forEach((name, address) -> peers.put(name, new HttpPool(thread, buffers, address, 1)));
@@ -122,8 +130,10 @@
 
     private static Undertow.ListenerBuilder listener(String address, HttpHandler handler) {
         int colon = address.lastIndexOf(':');
-        return new Undertow.ListenerBuilder().setType(Undertow.ListenerType.HTTP)
-                .setHost(address.substring(0, colon)).setPort(Integer.parseInt(address.substring(colon + 1)))
+        return new Undertow.ListenerBuilder()
+                .setType(Undertow.ListenerType.HTTP)
+                .setHost(address.substring(0, colon))
+                .setPort(Integer.parseInt(address.substring(colon + 1)))
                 .setRootHandler(handler);
     }
 
@@ -153,8 +163,12 @@
         workers.closeIdle();
         LOG.info("since the start: {}; connections to {} workers", controller.counts(), workers.size());
         if (userMs.getTotalCount() > 0) {
-            LOG.info("answered {} user requests in the last minute: p50 {} ms, p99 {} ms, longest {} ms",
-                    userMs.getTotalCount(), userMs.getValueAtPercentile(50), userMs.getValueAtPercentile(99), userMs.getMaxValue());
+            LOG.info(
+                    "answered {} user requests in the last minute: p50 {} ms, p99 {} ms, longest {} ms",
+                    userMs.getTotalCount(),
+                    userMs.getValueAtPercentile(50),
+                    userMs.getValueAtPercentile(99),
+                    userMs.getMaxValue());
             userMs.reset();
         }
     }
@@ -162,7 +176,8 @@
     /** Gives a message to the core and does what it wants done. */
     private void accept(Input input) {
         try {
-            effects.take(controller.handle((System.nanoTime() - startedAt) / 1_000_000, System.currentTimeMillis(), input));
+            effects.take(
+                    controller.handle((System.nanoTime() - startedAt) / 1_000_000, System.currentTimeMillis(), input));
         } catch (RuntimeException e) {
             LOG.error("a fault while handling {}", input.getClass().getSimpleName(), e);
         }
@@ -237,7 +252,8 @@
             for (HttpPool pool : peers.values()) {
                 // One that does not answer is told again once its time has run out, of what is true by then.
                 if (!pool.busy()) {
-                    pages.forEach(page -> pool.send(Methods.POST, PeerWire.STATUS, page, PEER_MS, (status, answer) -> { }));
+                    pages.forEach(
+                            page -> pool.send(Methods.POST, PeerWire.STATUS, page, PEER_MS, (status, answer) -> {}));
                 }
             }
         } catch (IOException e) {
@@ -280,7 +296,8 @@
         } else if (abort) {
             receive(exchange, (e, body) -> fromUser(e, asked, n -> new Input.Abort(n, id)));
         } else {
-            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> fromUser(exchange, polled, n -> new Input.Poll(n, id)));
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> fromUser(exchange, polled, n -> new Input.Poll(n, id)));
         }
     }
 
@@ -290,7 +307,8 @@
     }
 
     /** Asks the core for an answer. Too many at once are told to come back. */
-    private void fromUser(HttpServerExchange exchange, Deque<Asked> requests, java.util.function.LongFunction<Input> input) {
+    private void fromUser(
+            HttpServerExchange exchange, Deque<Asked> requests, java.util.function.LongFunction<Input> input) {
         if (pending.size() >= MAX_PENDING) {
             send(exchange, 503, UserWire.error("too busy, try again"));
             return;
@@ -355,12 +373,13 @@
             return;
         }
         exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY);
-        exchange.getRequestReceiver().receiveFullBytes(
-                (e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> receiver.received(e, body)),
-                (e, bad) -> {
-                    e.setPersistent(false);
-                    send(e, 400, UserWire.error("the body is over 64 KiB or broke off"));
-                });
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> receiver.received(e, body)),
+                        (e, bad) -> {
+                            e.setPersistent(false);
+                            send(e, 400, UserWire.error("the body is over 64 KiB or broke off"));
+                        });
     }
 
     private void reply(long id, int status, byte[] body) {
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -25,6 +25,7 @@
     private static final long WATCH_PAUSE_MS = 60;
     /** The part of the requests that all controllers' watches together may take. */
     private static final double WATCH_SHARE = 0.25;
+
     private static final long RETRY_MS = 300;
 
     private final XnioIoThread thread;
@@ -34,8 +35,13 @@
     private final Consumer<Input> core;
     private final long watchPauseMs;
 
-    StateClient(XnioIoThread thread, ByteBufferPool buffers, String address, double rps, int controllers,
-                Consumer<Input> core) {
+    StateClient(
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            String address,
+            double rps,
+            int controllers,
+            Consumer<Input> core) {
         this.thread = thread;
         this.calls = new HttpPool(thread, buffers, address, 12);
         this.leases = new HttpPool(thread, buffers, address, 2);
@@ -75,36 +81,41 @@
     }
 
     private void openWatch(long since) {
-        watches.send(Methods.GET, StateWire.watch(Keys.ROOT, since, WATCH_MS), null, WATCH_MS + 1500, (status, body) -> {
-            try {
-                if (status == 200) {
-                    StateWire.Events events = StateWire.events(body);
-                    core.accept(new Input.Changes(events.changes(), events.revision()));
-                    return;
-                }
-            } catch (IOException e) {
-                LOG.error("unreadable changes of the state service: {}", e.getMessage());
-            }
-            long pause = status == HttpPool.NO_ANSWER ? 0 : RETRY_MS;
-            thread.executeAfter(() -> core.accept(new Input.WatchFailed(status == 410)), pause, TimeUnit.MILLISECONDS);
-        });
+        watches.send(
+                Methods.GET, StateWire.watch(Keys.ROOT, since, WATCH_MS), null, WATCH_MS + 1500, (status, body) -> {
+                    try {
+                        if (status == 200) {
+                            StateWire.Events events = StateWire.events(body);
+                            core.accept(new Input.Changes(events.changes(), events.revision()));
+                            return;
+                        }
+                    } catch (IOException e) {
+                        LOG.error("unreadable changes of the state service: {}", e.getMessage());
+                    }
+                    long pause = status == HttpPool.NO_ANSWER ? 0 : RETRY_MS;
+                    thread.executeAfter(
+                            () -> core.accept(new Input.WatchFailed(status == 410)), pause, TimeUnit.MILLISECONDS);
+                });
     }
 
     void txn(long id, Txn txn) {
         calls.send(Methods.POST, StateWire.TXN, StateWire.txn(txn), CALL_MS, (status, body) -> {
-            Txn.Status outcome = switch (status) {
-                case 200 -> Txn.Status.COMMITTED;
-                case 409 -> Txn.Status.CONFLICT;
-                case 400 -> Txn.Status.INVALID;
-                case 429, 503 -> Txn.Status.REFUSED;
-                default -> Txn.Status.UNKNOWN;
-            };
+            Txn.Status outcome =
+                    switch (status) {
+                        case 200 -> Txn.Status.COMMITTED;
+                        case 409 -> Txn.Status.CONFLICT;
+                        case 400 -> Txn.Status.INVALID;
+                        case 429, 503 -> Txn.Status.REFUSED;
+                        default -> Txn.Status.UNKNOWN;
+                    };
             long revision = 0;
             try {
                 if (status == 200 || status == 409) {
                     revision = StateWire.revision(body);
                 } else if (status == 400) {
-                    LOG.error("the state service calls a write invalid: {}", new String(body, java.nio.charset.StandardCharsets.UTF_8));
+                    LOG.error(
+                            "the state service calls a write invalid: {}",
+                            new String(body, java.nio.charset.StandardCharsets.UTF_8));
                 }
             } catch (IOException e) {
                 outcome = Txn.Status.UNKNOWN;
@@ -141,7 +152,11 @@
     }
 
     void touch(long lease) {
-        leases.send(Methods.POST, StateWire.touch(lease), new byte[0], 1000, (status, body) ->
-                core.accept(new Input.LeaseTouched(lease, status == 200, status == 404)));
+        leases.send(
+                Methods.POST,
+                StateWire.touch(lease),
+                new byte[0],
+                1000,
+                (status, body) -> core.accept(new Input.LeaseTouched(lease, status == 200, status == 404)));
     }
 }
--- a/src/main/java/dewlane/io/WorkerPools.java
+++ b/src/main/java/dewlane/io/WorkerPools.java
@@ -8,8 +8,9 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Connections for commands, one a worker, and never more than a bound: a controller that is left alone with all machines
- * must not use up the sockets that reports, users and the state service need. The one that was idle for longest makes room.
+ * Connections for commands, one a worker, and never more than a bound: a controller that is left alone with all
+ * machines must not use up the sockets that reports, users and the state service need. The one that was idle for
+ * longest makes room.
  */
 final class WorkerPools {
     private static final long COMMAND_MS = 2500;
@@ -37,7 +38,8 @@
             pool = new HttpPool(thread, buffers, address, 1);
             pools.put(address, pool);
         }
-        // A pool stays after a call without an answer: a new one would open one more connection to a machine that hangs.
+        // A pool stays after a call without an answer: a new one would open one more connection to a machine that
+        // hangs.
         pool.send(Methods.POST, path, body, COMMAND_MS, callback);
         return true;
     }
--- a/src/main/java/dewlane/wire/CloudWire.java
+++ b/src/main/java/dewlane/wire/CloudWire.java
@@ -15,18 +15,25 @@
     public static final int MAX_DELETE = 100;
     private static final int PAGE = 500;
 
-    private CloudWire() { }
+    private CloudWire() {}
 
     /** A page of the machine list. */
-    public record Page(List<ListedMachine> machines, boolean more) { }
+    public record Page(List<ListedMachine> machines, boolean more) {}
 
     public static List<MachineType> catalog(byte[] body) throws IOException {
         List<MachineType> types = new ArrayList<>();
         for (Object o : Json.list(Json.object(body), "racks")) {
             Map<String, Object> t = Json.object(o);
-            types.add(new MachineType(Json.string(t, "name"), Json.number(t, "vcpus"), zeroIfNone(t, "gpus"),
-                    Json.number(t, "ramGb"), Json.number(t, "cacheGb"), Json.number(t, "fetchGbPerS"),
-                    Json.number(t, "hourly"), Json.number(t, "marketPrice"), Json.number(t, "readyS"),
+            types.add(new MachineType(
+                    Json.string(t, "name"),
+                    Json.number(t, "vcpus"),
+                    zeroIfNone(t, "gpus"),
+                    Json.number(t, "ramGb"),
+                    Json.number(t, "cacheGb"),
+                    Json.number(t, "fetchGbPerS"),
+                    Json.number(t, "hourly"),
+                    Json.number(t, "marketPrice"),
+                    Json.number(t, "readyS"),
                     Json.strings(t, "cellars")));
         }
         return types;
@@ -46,13 +53,18 @@
         List<ListedMachine> machines = new ArrayList<>();
         for (Object o : Json.list(in, "casks")) {
             Map<String, Object> m = Json.object(o);
-            machines.add(new ListedMachine(Json.string(m, "uid"), Json.string(m, "address"), Json.string(m, "rack"),
-                    Json.string(m, "cellar"), Json.flag(m, "consignment"),
+            machines.add(new ListedMachine(
+                    Json.string(m, "uid"),
+                    Json.string(m, "address"),
+                    Json.string(m, "rack"),
+                    Json.string(m, "cellar"),
+                    Json.flag(m, "consignment"),
                     switch (String.valueOf(Json.string(m, "condition"))) {
                         case "running" -> ListedMachine.State.RUNNING;
                         case "failed" -> ListedMachine.State.FAILED;
                         default -> ListedMachine.State.STARTING;
-                    }, zeroIfNone(m, "heldS")));
+                    },
+                    zeroIfNone(m, "heldS")));
         }
         return new Page(machines, Json.flag(in, "more"));
     }
--- a/src/main/java/dewlane/wire/Json.java
+++ b/src/main/java/dewlane/wire/Json.java
@@ -16,7 +16,7 @@
 final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
-    private Json() { }
+    private Json() {}
 
     /** Something that writes JSON. */
     interface Body {
@@ -76,8 +76,10 @@
                 yield list;
             }
             case VALUE_STRING -> in.getText();
-            case VALUE_NUMBER_INT -> in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                    ? (Object) in.getBigIntegerValue() : (Object) in.getLongValue();
+            case VALUE_NUMBER_INT ->
+                in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? (Object) in.getBigIntegerValue()
+                        : (Object) in.getLongValue();
             case VALUE_NUMBER_FLOAT -> in.getDoubleValue();
             case VALUE_TRUE -> Boolean.TRUE;
             case VALUE_FALSE -> Boolean.FALSE;
--- a/src/main/java/dewlane/wire/PeerWire.java
+++ b/src/main/java/dewlane/wire/PeerWire.java
@@ -13,7 +13,7 @@
 public final class PeerWire {
     public static final String STATUS = "/peer/status";
 
-    private PeerWire() { }
+    private PeerWire() {}
 
     public static byte[] status(PeerStatus s) throws IOException {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -24,8 +24,13 @@
             }
             out.packArrayHeader(s.machines().size());
             for (PeerMachine m : s.machines()) {
-                out.packString(m.name()).packString(m.address()).packString(m.type()).packString(m.zone())
-                        .packBoolean(m.spot()).packLong(m.session()).packLong(m.sequence());
+                out.packString(m.name())
+                        .packString(m.address())
+                        .packString(m.type())
+                        .packString(m.zone())
+                        .packBoolean(m.spot())
+                        .packLong(m.session())
+                        .packLong(m.sequence());
             }
             return out.toByteArray();
         }
@@ -44,8 +49,14 @@
             int n = in.unpackArrayHeader();
             List<PeerMachine> machines = new ArrayList<>();
             for (int i = 0; i < n; i++) {
-                machines.add(new PeerMachine(in.unpackString(), in.unpackString(), in.unpackString(),
-                        in.unpackString(), in.unpackBoolean(), in.unpackLong(), in.unpackLong()));
+                machines.add(new PeerMachine(
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackString(),
+                        in.unpackBoolean(),
+                        in.unpackLong(),
+                        in.unpackLong()));
             }
             return new PeerStatus(node, epoch, reachable, cancelled, machines);
         }
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -22,13 +22,13 @@
     public static final String TXN = "/txn";
     public static final String GRANTS = "/grants";
 
-    private StateWire() { }
+    private StateWire() {}
 
     /** A page of keys. */
-    public record Page(List<Row> rows, boolean more, long revision) { }
+    public record Page(List<Row> rows, boolean more, long revision) {}
 
     /** An answer of the watch. */
-    public record Events(List<Change> changes, long revision) { }
+    public record Events(List<Change> changes, long revision) {}
 
     public static String get(String key) {
         return "/store/" + key;
@@ -87,8 +87,10 @@
         for (Object o : Json.list(in, "log")) {
             Map<String, Object> e = Json.object(o);
             String set = Json.string(e, "set");
-            changes.add(set == null ? new Change(Json.string(e, "delete"), null, Json.whole(e, "entry"))
-                    : new Change(set, decode(set, Json.object(e.get("value"))), Json.whole(e, "entry")));
+            changes.add(
+                    set == null
+                            ? new Change(Json.string(e, "delete"), null, Json.whole(e, "entry"))
+                            : new Change(set, decode(set, Json.object(e.get("value"))), Json.whole(e, "entry")));
         }
         return new Events(changes, Json.whole(in, "ledger"));
     }
@@ -253,10 +255,10 @@
     }
 
     /** What attempts of one launch share. */
-    private record Launch(int number, long atMs) { }
+    private record Launch(int number, long atMs) {}
 
     /** What attempts of one launch on one machine share. */
-    private record Place(String machine, long session, long token) { }
+    private record Place(String machine, long session, long token) {}
 
     /** Done marks as ranges, such as 0-4,7: tasks are launched in order, so there are few. */
     static String ranges(BitSet set) {
@@ -293,7 +295,9 @@
             } else if (key.startsWith(Keys.FINALS)) {
                 return new Value.FinalRecord(Json.flag(in, "aborted"), Json.whole(in, "at"));
             } else if (key.startsWith(Keys.MACHINES)) {
-                return new Value.MachineRecord(Value.MachineFate.valueOf(Json.string(in, "fate")), Json.string(in, "reason"),
+                return new Value.MachineRecord(
+                        Value.MachineFate.valueOf(Json.string(in, "fate")),
+                        Json.string(in, "reason"),
                         List.copyOf(Json.strings(in, "names")));
             } else if (key.startsWith(Keys.PRESENCE)) {
                 return new Value.Presence(Json.whole(in, "incarnation"));
@@ -301,12 +305,16 @@
                 return new Value.TeamRecord(Json.number(in, "cpus"), Json.number(in, "gpus"));
             } else if (key.equals(Keys.MAP)) {
                 List<Value.Member> members = new ArrayList<>();
-                Json.object(in.get("members")).forEach((name, incarnation) ->
-                        members.add(new Value.Member(name, ((Number) incarnation).longValue())));
+                Json.object(in.get("members"))
+                        .forEach((name, incarnation) ->
+                                members.add(new Value.Member(name, ((Number) incarnation).longValue())));
                 members.sort((a, b) -> a.name().compareTo(b.name()));
                 Map<String, String> moved = new HashMap<>();
                 Json.object(in.get("moved")).forEach((machine, taker) -> moved.put(machine, (String) taker));
-                return new Value.ClusterMap(Json.whole(in, "epoch"), List.copyOf(members), Map.copyOf(moved),
+                return new Value.ClusterMap(
+                        Json.whole(in, "epoch"),
+                        List.copyOf(members),
+                        Map.copyOf(moved),
                         loans(Json.list(in, "loans")));
             }
         } catch (IllegalArgumentException | NullPointerException | ClassCastException e) {
@@ -318,7 +326,8 @@
     private static List<Value.Deal> deals(List<Object> in) {
         List<Value.Deal> deals = new ArrayList<>();
         for (int i = 0; i < in.size(); i += 3) {
-            deals.add(new Value.Deal((String) in.get(i), ((Number) in.get(i + 1)).intValue(), ((Number) in.get(i + 2)).intValue()));
+            deals.add(new Value.Deal(
+                    (String) in.get(i), ((Number) in.get(i + 1)).intValue(), ((Number) in.get(i + 2)).intValue()));
         }
         return List.copyOf(deals);
     }
@@ -326,20 +335,37 @@
     private static List<Value.Loan> loans(List<?> in) {
         List<Value.Loan> loans = new ArrayList<>();
         for (int i = 0; i < in.size(); i += 4) {
-            loans.add(new Value.Loan((String) in.get(i), (String) in.get(i + 1), ((Number) in.get(i + 2)).doubleValue(),
+            loans.add(new Value.Loan(
+                    (String) in.get(i),
+                    (String) in.get(i + 1),
+                    ((Number) in.get(i + 2)).doubleValue(),
                     ((Number) in.get(i + 3)).doubleValue()));
         }
         return List.copyOf(loans);
     }
 
     private static Job job(Map<String, Object> in) {
-        return new Job(Json.string(in, "id"), Json.string(in, "lot"), Json.string(in, "team"),
-                Priority.valueOf(Json.string(in, "priority")), (int) Json.whole(in, "tasks"),
-                Json.number(in, "cpus"), Json.number(in, "gpus"), Json.number(in, "memory"),
-                Json.string(in, "image"), Json.number(in, "imageGb"), List.copyOf(Json.strings(in, "types")),
-                Json.string(in, "zone"), Json.flag(in, "oneZone"), Json.flag(in, "spread"), Json.flag(in, "spot"),
-                Json.number(in, "estimate"), Json.number(in, "checkpoint"), Json.number(in, "save"),
-                Json.number(in, "deadline"), Json.whole(in, "accepted"));
+        return new Job(
+                Json.string(in, "id"),
+                Json.string(in, "lot"),
+                Json.string(in, "team"),
+                Priority.valueOf(Json.string(in, "priority")),
+                (int) Json.whole(in, "tasks"),
+                Json.number(in, "cpus"),
+                Json.number(in, "gpus"),
+                Json.number(in, "memory"),
+                Json.string(in, "image"),
+                Json.number(in, "imageGb"),
+                List.copyOf(Json.strings(in, "types")),
+                Json.string(in, "zone"),
+                Json.flag(in, "oneZone"),
+                Json.flag(in, "spread"),
+                Json.flag(in, "spot"),
+                Json.number(in, "estimate"),
+                Json.number(in, "checkpoint"),
+                Json.number(in, "save"),
+                Json.number(in, "deadline"),
+                Json.whole(in, "accepted"));
     }
 
     private static Value.Slice slice(Map<String, Object> in) {
@@ -358,7 +384,12 @@
                 tasks.stream().forEach(t -> attempts.add(new Attempt(first + t, number, machine, session, own, at)));
             }
         }
-        return new Value.Slice(Json.string(in, "owner"), first, (int) Json.whole(in, "count"),
-                (int) Json.whole(in, "launches"), ranges(Json.string(in, "done")), List.copyOf(attempts));
+        return new Value.Slice(
+                Json.string(in, "owner"),
+                first,
+                (int) Json.whole(in, "count"),
+                (int) Json.whole(in, "launches"),
+                ranges(Json.string(in, "done")),
+                List.copyOf(attempts));
     }
 }
--- a/src/main/java/dewlane/wire/UserWire.java
+++ b/src/main/java/dewlane/wire/UserWire.java
@@ -19,10 +19,10 @@
     private static final int MAX_TASKS = 100_000;
     private static final int MAX_NAME = 200;
 
-    private UserWire() { }
+    private UserWire() {}
 
     /** A submission's body: the job, or why it is malformed; the id is kept if it at least has one. */
-    public record Submission(String uid, Job job, String reason) { }
+    public record Submission(String uid, Job job, String reason) {}
 
     private static final class Malformed extends Exception {
         private static final long serialVersionUID = 1;
@@ -58,13 +58,14 @@
         if (!"batch".equals(text(in, "style"))) {
             throw new Malformed("style must be batch");
         }
-        Priority priority = switch (text(in, "rank")) {
-            case "critical" -> Priority.CRITICAL;
-            case "high" -> Priority.HIGH;
-            case "standard" -> Priority.STANDARD;
-            case "idle" -> Priority.IDLE;
-            default -> throw new Malformed("rank must be critical, high, standard or idle");
-        };
+        Priority priority =
+                switch (text(in, "rank")) {
+                    case "critical" -> Priority.CRITICAL;
+                    case "high" -> Priority.HIGH;
+                    case "standard" -> Priority.STANDARD;
+                    case "idle" -> Priority.IDLE;
+                    default -> throw new Malformed("rank must be critical, high, standard or idle");
+                };
         if (!(in.get("bottles") instanceof Long tasks) || tasks < 1 || tasks > MAX_TASKS) {
             throw new Malformed("bottles must be an integer from 1 to " + MAX_TASKS);
         }
@@ -82,12 +83,27 @@
         }
         String zone = in.get("cellar") == null ? null : text(in, "cellar");
         double deadline = in.get("shipByS") == null ? 0 : amount(in, "shipByS", false);
-        return new Job(uid, text(in, "lot"), text(in, "house"), priority, tasks.intValue(),
-                amount(in, "vcpus", false), amount(in, "gpus", true), amount(in, "ramGb", false),
-                text(in, "blend"), amount(in, "pullGb", false), List.copyOf(types), zone,
-                flag(in, "samePlace"), flag(in, "scatter"), flag(in, "consignment"),
-                amount(in, "maturingS", false), amount(in, "rackingS", true), amount(in, "corkingS", true),
-                deadline, 0);
+        return new Job(
+                uid,
+                text(in, "lot"),
+                text(in, "house"),
+                priority,
+                tasks.intValue(),
+                amount(in, "vcpus", false),
+                amount(in, "gpus", true),
+                amount(in, "ramGb", false),
+                text(in, "blend"),
+                amount(in, "pullGb", false),
+                List.copyOf(types),
+                zone,
+                flag(in, "samePlace"),
+                flag(in, "scatter"),
+                flag(in, "consignment"),
+                amount(in, "maturingS", false),
+                amount(in, "rackingS", true),
+                amount(in, "corkingS", true),
+                deadline,
+                0);
     }
 
     private static String text(Map<String, Object> in, String field) throws Malformed {
--- a/src/main/java/dewlane/wire/WorkerWire.java
+++ b/src/main/java/dewlane/wire/WorkerWire.java
@@ -16,7 +16,7 @@
     public static final String REPORT = "/v1/report";
     public static final String COMMAND = "/do";
 
-    private WorkerWire() { }
+    private WorkerWire() {}
 
     /** Reads a report; throws if it lacks what makes it one. */
     public static Report report(byte[] body) throws IOException {
@@ -25,7 +25,11 @@
         String address = Json.string(in, "address");
         String type = Json.string(in, "rack");
         String zone = Json.string(in, "cellar");
-        if (machine == null || machine.isEmpty() || address == null || type == null || zone == null
+        if (machine == null
+                || machine.isEmpty()
+                || address == null
+                || type == null
+                || zone == null
                 || Json.whole(in, "pour") < 1) {
             throw new IOException("not a report");
         }
@@ -38,12 +42,25 @@
                 throw new IOException("not a task: " + name);
             }
             Phase phase = phase(Json.string(t, "condition"));
-            tasks.add(new TaskState(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1)),
-                    (int) Json.whole(t, "try"), phase,
-                    phase == Phase.EXITED ? end(Json.string(t, "fault")) : null, Json.flag(t, "kept")));
+            tasks.add(new TaskState(
+                    name.substring(0, slash),
+                    Integer.parseInt(name.substring(slash + 1)),
+                    (int) Json.whole(t, "try"),
+                    phase,
+                    phase == Phase.EXITED ? end(Json.string(t, "fault")) : null,
+                    Json.flag(t, "kept")));
         }
-        return new Report(machine, address, type, zone, Json.flag(in, "consignment"), Json.whole(in, "pour"),
-                Json.whole(in, "tally"), Json.whole(in, "seal"), Json.number(in, "recallS"), tasks);
+        return new Report(
+                machine,
+                address,
+                type,
+                zone,
+                Json.flag(in, "consignment"),
+                Json.whole(in, "pour"),
+                Json.whole(in, "tally"),
+                Json.whole(in, "seal"),
+                Json.number(in, "recallS"),
+                tasks);
     }
 
     private static Phase phase(String word) throws IOException {
@@ -100,11 +117,13 @@
         out.writeArrayFieldStart("orders");
         for (Order o : orders) {
             out.writeStartObject();
-            out.writeStringField("order", switch (o.kind()) {
-                case LAUNCH -> "launch";
-                case STOP -> "stop";
-                case FORGET -> "forget";
-            });
+            out.writeStringField(
+                    "order",
+                    switch (o.kind()) {
+                        case LAUNCH -> "launch";
+                        case STOP -> "stop";
+                        case FORGET -> "forget";
+                    });
             out.writeStringField("bottle", o.job() + "/" + o.task());
             out.writeNumberField("try", o.attempt());
             if (o.kind() == Order.Kind.STOP) {
--- a/src/test/java/dewlane/cli/DeployFileTest.java
+++ b/src/test/java/dewlane/cli/DeployFileTest.java
@@ -23,7 +23,8 @@
     private String with(String good, String bad) throws IOException {
         String text = Files.readString(GOOD);
         assertTrue(text.contains(good), good);
-        return Files.writeString(dir.resolve("deploy.toml"), text.replace(good, bad)).toString();
+        return Files.writeString(dir.resolve("deploy.toml"), text.replace(good, bad))
+                .toString();
     }
 
     @Test
@@ -38,16 +39,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "node_name = \"node-0\" | node_name = 7 | node_name: expected a string that is not empty",
-        "serve_on = \"127.0.0.1:18080\" | serve_on = \"here\" | serve_on: expected an address such as 10.0.0.1:8080",
-        "[services] | [other] | services: expected a table",
-        "report_s = 3.0 | report_s = \"3\" | settings.workers.report_s: expected a number above 0",
-        "txn_ops = 16 | txn_ops = 1.5 | settings.state.txn_ops: expected an integer of at least 8",
-        "cpus_max = 16.0 | cpus_max = -1 | settings.teams.cpus_max: expected a number of at least 0",
-        "zones = [\"east\", \"west\"] | zones = [1] | settings.zones: expected an array of strings",
-        "max_sockets = 1000 | max_sockets = true | settings.resources.max_sockets: expected an integer of at least 136",
-        "max_sockets = 1000 | max_sockets = 135 | settings.resources.max_sockets: expected an integer of at least 136"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "node_name = \"node-0\" | node_name = 7 | node_name: expected a string that is not empty",
+                "serve_on = \"127.0.0.1:18080\" | serve_on = \"here\" | serve_on: expected an address such as 10.0.0.1:8080",
+                "[services] | [other] | services: expected a table",
+                "report_s = 3.0 | report_s = \"3\" | settings.workers.report_s: expected a number above 0",
+                "txn_ops = 16 | txn_ops = 1.5 | settings.state.txn_ops: expected an integer of at least 8",
+                "cpus_max = 16.0 | cpus_max = -1 | settings.teams.cpus_max: expected a number of at least 0",
+                "zones = [\"east\", \"west\"] | zones = [1] | settings.zones: expected an array of strings",
+                "max_sockets = 1000 | max_sockets = true | settings.resources.max_sockets: expected an integer of at least 136",
+                "max_sockets = 1000 | max_sockets = 135 | settings.resources.max_sockets: expected an integer of at least 136"
+            })
     void aBadFieldIsNamedWithWhatWasExpected(String good, String bad, String message) throws IOException {
         String file = with(good, bad);
         SettingsException e = assertThrows(SettingsException.class, () -> DeployFile.read(file, null));
@@ -57,19 +61,28 @@
     @Test
     void whatIsNoTomlOrNoFileIsToldInOneLine() throws IOException {
         String file = Files.writeString(dir.resolve("bad.toml"), "= = =\n").toString();
-        assertTrue(assertThrows(SettingsException.class, () -> DeployFile.read(file, null)).getMessage().startsWith(file + ": is not TOML"));
-        assertEquals("nowhere.toml: cannot be read",
-                assertThrows(SettingsException.class, () -> DeployFile.read("nowhere.toml", null)).getMessage());
+        assertTrue(assertThrows(SettingsException.class, () -> DeployFile.read(file, null))
+                .getMessage()
+                .startsWith(file + ": is not TOML"));
+        assertEquals(
+                "nowhere.toml: cannot be read",
+                assertThrows(SettingsException.class, () -> DeployFile.read("nowhere.toml", null))
+                        .getMessage());
     }
 
     @Test
     void operatorsSettingsReplaceDefaults() throws IOException, SettingsException {
-        String own = Files.writeString(dir.resolve("own.toml"), "silent_s = 20\n").toString();
-        Settings.Tuning tuning = DeployFile.read(GOOD.toString(), own).settings().tuning();
+        String own =
+                Files.writeString(dir.resolve("own.toml"), "silent_s = 20\n").toString();
+        Settings.Tuning tuning =
+                DeployFile.read(GOOD.toString(), own).settings().tuning();
         assertEquals(20, tuning.silentS());
         assertEquals(Settings.Tuning.defaults().idleS(), tuning.idleS());
-        String bad = Files.writeString(dir.resolve("own.toml"), "silent_s = 1\n").toString();
-        assertEquals(bad + ": silent_s: expected a number of at least 5",
-                assertThrows(SettingsException.class, () -> DeployFile.read(GOOD.toString(), bad)).getMessage());
+        String bad =
+                Files.writeString(dir.resolve("own.toml"), "silent_s = 1\n").toString();
+        assertEquals(
+                bad + ": silent_s: expected a number of at least 5",
+                assertThrows(SettingsException.class, () -> DeployFile.read(GOOD.toString(), bad))
+                        .getMessage());
     }
 }
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -20,9 +20,24 @@
 class ControllerTest {
     private static final MachineType BOX = new MachineType("box", 4, 0, 16, 20, 1, 0.2, 0.1, 30, List.of("east"));
 
-    private final Controller controller = new Controller(new Settings("n0", List.of("n1"),
-            Map.of("blue", new Settings.Team("blue", 0, 0, 4, 0), "red", new Settings.Team("red", 0, 0, 0, 0)), List.of(), List.of("east"), 3, 30, 60, 100, 100,
-            16_384, 16, 5, 5, Settings.Tuning.defaults()), 1);
+    private final Controller controller = new Controller(
+            new Settings(
+                    "n0",
+                    List.of("n1"),
+                    Map.of("blue", new Settings.Team("blue", 0, 0, 4, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
+                    List.of(),
+                    List.of("east"),
+                    3,
+                    30,
+                    60,
+                    100,
+                    100,
+                    16_384,
+                    16,
+                    5,
+                    5,
+                    Settings.Tuning.defaults()),
+            1);
     private final List<Effect> effects = new ArrayList<>();
     private long now;
     private long revision = 10;
@@ -38,7 +53,8 @@
     }
 
     private <T extends Effect> List<T> take(Class<T> kind) {
-        List<T> found = effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+        List<T> found =
+                effects.stream().filter(kind::isInstance).map(kind::cast).toList();
         effects.clear();
         return found;
     }
@@ -54,8 +70,27 @@
     }
 
     private static Job job(int tasks, double cpus) {
-        return new Job("wk-1", "lot", "blue", Priority.HIGH, tasks, cpus, 0, 1, "image", 1, List.of(), null,
-                false, false, true, 10, 0, 0, 0, 1);
+        return new Job(
+                "wk-1",
+                "lot",
+                "blue",
+                Priority.HIGH,
+                tasks,
+                cpus,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                10,
+                0,
+                0,
+                0,
+                1);
     }
 
     @BeforeEach
@@ -68,9 +103,14 @@
         Effect.SendTxn txn = take(Effect.SendTxn.class).get(0);
         revision++;
         hear(5, new Input.TxnAnswer(txn.id(), Txn.Status.COMMITTED, revision));
-        hear(5, new Input.Changes(List.of(
-                new Input.Change(Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
-                new Input.Change(Keys.presence("n0"), new Presence(1), revision)), revision));
+        hear(
+                5,
+                new Input.Changes(
+                        List.of(
+                                new Input.Change(
+                                        Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
+                                new Input.Change(Keys.presence("n0"), new Presence(1), revision)),
+                        revision));
         assertTrue(controller.ready());
         effects.clear();
     }
@@ -81,12 +121,16 @@
         change(Keys.job("wk-1"), new JobRecord(job(2, 1), List.of(), 0));
         change(Keys.slice("wk-1", 0), new Slice("n0", 0, 2, 0, new BitSet(), List.of()));
         hear(100, new Input.Tick());
-        assertTrue(effects.stream().filter(Effect.Command.class::isInstance).map(Effect.Command.class::cast)
+        assertTrue(effects.stream()
+                .filter(Effect.Command.class::isInstance)
+                .map(Effect.Command.class::cast)
                 .allMatch(c -> c.orders().isEmpty()));
         Txn txn = take(Effect.SendTxn.class).get(0).txn();
         List<String> guards = txn.when().stream().map(Txn.Guard::key).toList();
-        assertTrue(guards.containsAll(List.of(Keys.job("wk-1"), Keys.slice("wk-1", 0), Keys.MAP, Keys.machine("m1"),
-                Keys.team("blue"))), guards.toString());
+        assertTrue(
+                guards.containsAll(List.of(
+                        Keys.job("wk-1"), Keys.slice("wk-1", 0), Keys.MAP, Keys.machine("m1"), Keys.team("blue"))),
+                guards.toString());
     }
 
     @Test
@@ -96,7 +140,11 @@
         change(Keys.slice("wk-1", 0), new Slice("n0", 0, 9, 0, new BitSet(), List.of()));
         hear(100, new Input.Tick());
         Txn txn = take(Effect.SendTxn.class).get(0).txn();
-        Slice written = (Slice) txn.apply().stream().filter(w -> w.key().startsWith(Keys.SLICES)).findFirst().orElseThrow().value();
+        Slice written = (Slice) txn.apply().stream()
+                .filter(w -> w.key().startsWith(Keys.SLICES))
+                .findFirst()
+                .orElseThrow()
+                .value();
         assertEquals(1, written.attempts().size(), "3 of 4 CPUs are taken by the first task");
     }
 
@@ -105,11 +153,14 @@
         long token = 1L << 20;
         hear(60, new Input.ReportReceived(1, report(1, 1, token)));
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
-        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
+        change(
+                Keys.slice("wk-1", 0),
+                new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
         effects.clear();
         hear(3000, new Input.ReportReceived(2, report(1, 2, token)));
         hear(100, new Input.Tick());
-        assertEquals(List.of(), take(Effect.SendTxn.class), "a report that lacks a launch still on its way proves nothing");
+        assertEquals(
+                List.of(), take(Effect.SendTxn.class), "a report that lacks a launch still on its way proves nothing");
         hear(10, new Input.Changes(List.of(), revision));
         effects.clear();
         hear(3000, new Input.ReportReceived(3, report(2, 3, token)));
@@ -117,7 +168,10 @@
         List<Effect.SendTxn> written = take(Effect.SendTxn.class);
         assertEquals(1, written.size(), "the worker's later session does");
         Slice after = (Slice) written.get(0).txn().apply().stream()
-                .filter(w -> w.key().startsWith(Keys.SLICES)).findFirst().orElseThrow().value();
+                .filter(w -> w.key().startsWith(Keys.SLICES))
+                .findFirst()
+                .orElseThrow()
+                .value();
         assertTrue(after.attempts().stream().noneMatch(a -> a.number() == 1));
     }
 
@@ -125,7 +179,9 @@
     void aCancelledLaunchThatMayStillArriveIsFencedOff() {
         long token = 1L << 20;
         hear(60, new Input.ReportReceived(1, report(1, 1, token)));
-        change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
+        change(
+                Keys.slice("wk-1", 0),
+                new Slice("n0", 0, 1, 1, new BitSet(), List.of(new Attempt(0, 1, "m1", 1, token, 1))));
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), now));
         effects.clear();
         hear(3000, new Input.ReportReceived(2, report(1, 2, token)));
@@ -140,13 +196,39 @@
         long token = 1L << 20;
         hear(100, new Input.ReportReceived(1, report(1, 1, token)));
         revision++;
-        hear(10, new Input.Changes(List.of(
-                new Input.Change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0), revision),
-                new Input.Change(Keys.slice("wk-1", 0), new Slice("n0", 0, 1, 1, new BitSet(),
-                        List.of(new Attempt(0, 1, "m1", 1, token, 1))), revision)), revision));
+        hear(
+                10,
+                new Input.Changes(
+                        List.of(
+                                new Input.Change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0), revision),
+                                new Input.Change(
+                                        Keys.slice("wk-1", 0),
+                                        new Slice(
+                                                "n0",
+                                                0,
+                                                1,
+                                                1,
+                                                new BitSet(),
+                                                List.of(new Attempt(0, 1, "m1", 1, token, 1))),
+                                        revision)),
+                        revision));
         effects.clear();
-        hear(10, new Input.ReportReceived(2, new Report("m1", "h:1", "box", "east", true, 1, 2, token, Double.NaN,
-                List.of(new Report.TaskState("wk-1", 0, 1, Report.Phase.EXITED, Report.End.DONE, false)))));
+        hear(
+                10,
+                new Input.ReportReceived(
+                        2,
+                        new Report(
+                                "m1",
+                                "h:1",
+                                "box",
+                                "east",
+                                true,
+                                1,
+                                2,
+                                token,
+                                Double.NaN,
+                                List.of(new Report.TaskState(
+                                        "wk-1", 0, 1, Report.Phase.EXITED, Report.End.DONE, false)))));
         assertEquals(List.of(), take(Effect.AnswerReport.class).get(0).orders());
     }
 
@@ -208,14 +290,32 @@
         change(Keys.fin("wk-1"), new Value.FinalRecord(true, now));
         effects.clear();
         hear(10, new Input.ValueRead(read, true, new JobRecord(job(1, 1), List.of(), 0), revision - 1));
-        assertEquals(Effect.Condition.ABORTED, take(Effect.AnswerUser.class).get(0).state().condition());
+        assertEquals(
+                Effect.Condition.ABORTED,
+                take(Effect.AnswerUser.class).get(0).state().condition());
     }
 
     @Test
     void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
         for (double cancelS : new double[] {31, 44}) {
-            Controller tight = new Controller(new Settings("n0", List.of(), Map.of(), List.of(), List.of("east"), 3, 30, cancelS,
-                    100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults()), 1);
+            Controller tight = new Controller(
+                    new Settings(
+                            "n0",
+                            List.of(),
+                            Map.of(),
+                            List.of(),
+                            List.of("east"),
+                            3,
+                            30,
+                            cancelS,
+                            100,
+                            100,
+                            16_384,
+                            16,
+                            5,
+                            5,
+                            Settings.Tuning.defaults()),
+                    1);
             boolean warned = tight.handle(0, 0, new Input.Tick()).stream()
                     .anyMatch(e -> e instanceof Effect.Log l && l.text().contains("too short beside lease_s"));
             assertEquals(cancelS == 31, warned);
@@ -229,9 +329,15 @@
         long token = take(Effect.AnswerReport.class).get(0).token();
         hear(10, new Input.WatchFailed(true));
         hear(600, new Input.Tick());
-        hear(10, new Input.StateListed(List.of(
-                new Input.Row(Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
-                new Input.Row(Keys.presence("n0"), new Presence(1), revision)), revision, revision));
+        hear(
+                10,
+                new Input.StateListed(
+                        List.of(
+                                new Input.Row(
+                                        Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
+                                new Input.Row(Keys.presence("n0"), new Presence(1), revision)),
+                        revision,
+                        revision));
         hear(500, new Input.ReportReceived(2, report(1, 2, token)));
         assertTrue(take(Effect.AnswerReport.class).get(0).token() > token);
     }
@@ -248,14 +354,35 @@
         assertEquals(1, take(Effect.AnswerReport.class).size(), "its peers do not reach the state service either");
     }
 
-    /** Found in a day's writes: once the first outcomes of a job were written, each further one was a change of its own. */
+    /**
+     * Found in a day's writes: once the first outcomes of a job were written, each further one was a change of its own.
+     */
     @Test
     void outcomesThatFollowAWriteGatherAnew() {
         meet();
         long token = 1L << 20;
         int tasks = 8;
-        Job job = new Job("wk-2", "lot", "red", Priority.HIGH, tasks, 0.25, 0, 1, "image", 1, List.of(), null,
-                false, false, true, 10, 0, 0, 0, 1);
+        Job job = new Job(
+                "wk-2",
+                "lot",
+                "red",
+                Priority.HIGH,
+                tasks,
+                0.25,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                10,
+                0,
+                0,
+                0,
+                1);
         List<Attempt> attempts = new ArrayList<>();
         for (int i = 0; i < tasks; i++) {
             attempts.add(new Attempt(i, 1, "m1", 1, token, 1));
@@ -268,11 +395,16 @@
         for (int ended = 1; ended < tasks; ended++) {
             List<Report.TaskState> states = new ArrayList<>();
             for (int i = 0; i < tasks; i++) {
-                states.add(i < ended ? new Report.TaskState(job.id(), i, 1, Report.Phase.EXITED, Report.End.DONE, false)
-                        : new Report.TaskState(job.id(), i, 1, Report.Phase.RUNNING, null, false));
+                states.add(
+                        i < ended
+                                ? new Report.TaskState(job.id(), i, 1, Report.Phase.EXITED, Report.End.DONE, false)
+                                : new Report.TaskState(job.id(), i, 1, Report.Phase.RUNNING, null, false));
             }
-            hear(400, new Input.ReportReceived(10 + ended, new Report("m1", "h:1", "box", "east", true, 1, 10 + ended, token,
-                    Double.NaN, states)));
+            hear(
+                    400,
+                    new Input.ReportReceived(
+                            10 + ended,
+                            new Report("m1", "h:1", "box", "east", true, 1, 10 + ended, token, Double.NaN, states)));
             // The write of the last round shows here only now, when the next outcome is in already.
             shown.forEach(w -> change(w.key(), w.value()));
             shown.clear();
--- a/src/test/java/dewlane/core/QuotaTest.java
+++ b/src/test/java/dewlane/core/QuotaTest.java
@@ -11,13 +11,29 @@
 import org.junit.jupiter.api.Test;
 
 class QuotaTest {
-    private final Settings settings = new Settings("n0", List.of(), Map.of("blue", new Settings.Team("blue", 20, 0, 0, 0)), List.of(),
-            List.of("east"), 3, 30, 60, 100, 100, 16_384, 16, 5, 5, Settings.Tuning.defaults());
-    private final Replica replica = new Replica(delta -> { });
+    private final Settings settings = new Settings(
+            "n0",
+            List.of(),
+            Map.of("blue", new Settings.Team("blue", 20, 0, 0, 0)),
+            List.of(),
+            List.of("east"),
+            3,
+            30,
+            60,
+            100,
+            100,
+            16_384,
+            16,
+            5,
+            5,
+            Settings.Tuning.defaults());
+    private final Replica replica = new Replica(delta -> {});
     private final List<JobEntry> ready = new ArrayList<>();
 
     private void accepted(String id, Priority priority, int tasks) {
-        Job job = new Job(id, "lot", "blue", priority, tasks, 2, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0, 0, 1);
+        Job job = new Job(
+                id, "lot", "blue", priority, tasks, 2, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0,
+                0, 1);
         replica.apply(new Input.Change(Keys.job(id), new JobRecord(job, List.of(), 0), ready.size() + 1));
         ready.add(replica.job(id));
     }
--- a/src/test/java/dewlane/io/EffectQueueTest.java
+++ b/src/test/java/dewlane/io/EffectQueueTest.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Seen on an own day: commands that found no free connection were answered one within the other, until the stack was full. */
+/**
+ * Seen on an own day: commands that found no free connection were answered one within the other, until the stack was
+ * full.
+ */
 class EffectQueueTest {
     private final EffectQueue queue = new EffectQueue(this::act);
     private int depth;
--- a/src/test/java/dewlane/io/WorkerPoolsTest.java
+++ b/src/test/java/dewlane/io/WorkerPoolsTest.java
@@ -36,17 +36,26 @@
     /** One listener stands for all machines, each with a loopback address of its own. */
     @BeforeEach
     void start() throws Exception {
-        machines = Undertow.builder().addHttpListener(0, "0.0.0.0").setIoThreads(1).setWorkerThreads(1).setHandler(exchange -> {
-            if (exchange.getRequestPath().equals("/hold")) {
-                exchange.dispatch(() -> held.add(exchange));
-            } else {
-                exchange.getResponseSender().send("{}");
-            }
-        }).build();
+        machines = Undertow.builder()
+                .addHttpListener(0, "0.0.0.0")
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .setHandler(exchange -> {
+                    if (exchange.getRequestPath().equals("/hold")) {
+                        exchange.dispatch(() -> held.add(exchange));
+                    } else {
+                        exchange.getResponseSender().send("{}");
+                    }
+                })
+                .build();
         machines.start();
         port = ((InetSocketAddress) machines.getListenerInfo().get(0).getAddress()).getPort();
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .getMap());
         pools = new WorkerPools(worker.getIoThread(), new DefaultByteBufferPool(false, 1024), MOST);
     }
 
--- a/src/test/java/dewlane/sim/Checker.java
+++ b/src/test/java/dewlane/sim/Checker.java
@@ -30,11 +30,13 @@
     private final Map<String, Condition> last = new HashMap<>();
     /** By job and machine, since when the job waits while that machine has room for it. */
     private final Map<String, Map<String, Long>> waitsBeside = new HashMap<>();
+
     int starts;
     /** Starts after their job's cancellation was confirmed, by launches that were on their way by then. */
     int startsInFlight;
     /** A launch sent longer after a confirmation than a controller's view may lag is one it should not have sent. */
     private static final long VIEW_MS = 3000;
+
     private static final long MOST_WAIT_MS = 90_000;
 
     Checker(World world) {
@@ -43,7 +45,9 @@
 
     void broken(String rule, String what) {
         String job = what.split("[ /]")[0];
-        throw new Violation(rule, "seed " + world.seed + " at " + world.now() + " ms: " + rule + ": " + what + "\n" + world.lately(job));
+        throw new Violation(
+                rule,
+                "seed " + world.seed + " at " + world.now() + " ms: " + rule + ": " + what + "\n" + world.lately(job));
     }
 
     boolean doneTask(String job, int task) {
@@ -67,8 +71,11 @@
         if (finals.get(task.job) == Condition.ABORTED) {
             startsInFlight++;
             if (task.orderedAt - finalsAt.get(task.job) > VIEW_MS) {
-                broken("started_cancelled", task.job + "/" + task.number + " on " + on.name + ", launched "
-                        + (task.orderedAt - finalsAt.get(task.job)) + " ms after its cancellation was confirmed");
+                broken(
+                        "started_cancelled",
+                        task.job + "/" + task.number + " on " + on.name + ", launched "
+                                + (task.orderedAt - finalsAt.get(task.job))
+                                + " ms after its cancellation was confirmed");
             }
         }
         Job job = world.users.job(task.job);
@@ -80,7 +87,9 @@
                     continue;
                 }
                 if (t.number == task.number) {
-                    broken("ran_twice", name + " on " + on.name + " #" + task.attempt + " and " + m.name + " #" + t.attempt);
+                    broken(
+                            "ran_twice",
+                            name + " on " + on.name + " #" + task.attempt + " and " + m.name + " #" + t.attempt);
                 }
                 sameZone += m.zone.equals(on.zone) ? 1 : 0;
                 if (job.oneZone() && !m.zone.equals(on.zone)) {
@@ -106,7 +115,9 @@
 
     void told(String job, Condition condition, long askedAt) {
         last.put(job, finals.getOrDefault(job, condition));
-        if (condition == Condition.DONE && done.getOrDefault(job, Set.of()).size() < world.users.job(job).tasks()) {
+        if (condition == Condition.DONE
+                && done.getOrDefault(job, Set.of()).size()
+                        < world.users.job(job).tasks()) {
             broken("not_done", job + " was called done");
         }
         if (condition == Condition.ABORTED && !asked.contains(job)) {
@@ -114,8 +125,11 @@
         }
         Condition known = finals.get(job);
         // An answer to a question asked before the final state was told may overtake it on the way.
-        if (known != null && condition != known && (askedAt > finalsAt.get(job) && askedAt != Long.MAX_VALUE
-                || condition == Condition.DONE || condition == Condition.ABORTED)) {
+        if (known != null
+                && condition != known
+                && (askedAt > finalsAt.get(job) && askedAt != Long.MAX_VALUE
+                        || condition == Condition.DONE
+                        || condition == Condition.ABORTED)) {
             broken("went_back", job + " was called " + known + ", then " + condition);
         }
         if (known == null && (condition == Condition.DONE || condition == Condition.ABORTED)) {
@@ -126,8 +140,8 @@
     }
 
     /**
-     * From now on, with all troubles over, no job waits for 90 s while a machine that fits has room and its team is under
-     * its limit. Jobs that are bound to places by their other tasks are left out.
+     * From now on, with all troubles over, no job waits for 90 s while a machine that fits has room and its team is
+     * under its limit. Jobs that are bound to places by their other tasks are left out.
      */
     void watchWaiting() {
         world.every(1000, () -> {
@@ -140,7 +154,13 @@
                     if (!m.hasRoom(job)) {
                         beside.remove(m.name);
                     } else if (world.now() - beside.computeIfAbsent(m.name, k -> world.now()) > MOST_WAIT_MS) {
-                        broken("left_waiting", id + " waits beside room on " + m.name + " of " + dewlane.core.Parts.owner((dewlane.core.Value.ClusterMap) world.state.get(dewlane.core.Keys.MAP), m.name) + "\n" + world.lately(m.name) + world.describe(id));
+                        broken(
+                                "left_waiting",
+                                id + " waits beside room on " + m.name + " of "
+                                        + dewlane.core.Parts.owner(
+                                                (dewlane.core.Value.ClusterMap) world.state.get(dewlane.core.Keys.MAP),
+                                                m.name)
+                                        + "\n" + world.lately(m.name) + world.describe(id));
                     }
                 }
             }
@@ -150,7 +170,9 @@
     private boolean waits(Job job) {
         long held = done.getOrDefault(job.id(), Set.of()).size();
         for (SimWorker m : world.cloud.machines.values()) {
-            held += m.tasks.values().stream().filter(t -> t.job.equals(job.id()) && t.phase != dewlane.core.Report.Phase.EXITED).count();
+            held += m.tasks.values().stream()
+                    .filter(t -> t.job.equals(job.id()) && t.phase != dewlane.core.Report.Phase.EXITED)
+                    .count();
         }
         return held < job.tasks();
     }
@@ -160,7 +182,10 @@
         for (SimWorker m : world.cloud.machines.values()) {
             for (SimWorker.Task t : m.tasks.values()) {
                 Job other = world.users.job(t.job);
-                used += t.phase != dewlane.core.Report.Phase.EXITED && other.team().equals(job.team()) ? other.cpus() : 0;
+                used += t.phase != dewlane.core.Report.Phase.EXITED
+                                && other.team().equals(job.team())
+                        ? other.cpus()
+                        : 0;
             }
         }
         double most = world.settings.teams().get(job.team()).cpusMax();
@@ -178,9 +203,13 @@
         }
         for (SimWorker m : world.cloud.machines.values()) {
             for (SimWorker.Task t : m.tasks.values()) {
-                if (t.on() && finals.get(t.job) == Condition.ABORTED
+                if (t.on()
+                        && finals.get(t.job) == Condition.ABORTED
                         && world.now() - finalsAt.get(t.job) > world.settings.cancelS() * 1000) {
-                    broken("ran_cancelled", t.job + "/" + t.number + " on " + m.name + "\n" + world.lately(m.name) + world.lately("strike"));
+                    broken(
+                            "ran_cancelled",
+                            t.job + "/" + t.number + " on " + m.name + "\n" + world.lately(m.name)
+                                    + world.lately("strike"));
                 }
             }
         }
--- a/src/test/java/dewlane/sim/MeetingsTest.java
+++ b/src/test/java/dewlane/sim/MeetingsTest.java
@@ -39,13 +39,51 @@
     }
 
     private static Job job(int number, Priority priority, int tasks, double cpus, double estimateS) {
-        return new Job(id(number), "lot", "blue", priority, tasks, cpus, 0, 1, "image", 1, List.of(), null, false, false,
-                true, estimateS, 0, 0, 0, 0);
+        return new Job(
+                id(number),
+                "lot",
+                "blue",
+                priority,
+                tasks,
+                cpus,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                estimateS,
+                0,
+                0,
+                0,
+                0);
     }
 
     private static Job placed(int number, int tasks, String zone, boolean oneZone, boolean spread) {
-        return new Job(id(number), "lot", "blue", Priority.HIGH, tasks, 2, 0, 1, "image", 1, List.of(), zone, oneZone, spread,
-                true, 30, 0, 0, 0, 0);
+        return new Job(
+                id(number),
+                "lot",
+                "blue",
+                Priority.HIGH,
+                tasks,
+                2,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                zone,
+                oneZone,
+                spread,
+                true,
+                30,
+                0,
+                0,
+                0,
+                0);
     }
 
     private static SimNode leader(World world) {
@@ -53,7 +91,10 @@
     }
 
     private static SimNode other(World world, SimNode than) {
-        return world.nodes.values().stream().filter(n -> n != than && n.alive).findFirst().orElseThrow();
+        return world.nodes.values().stream()
+                .filter(n -> n != than && n.alive)
+                .findFirst()
+                .orElseThrow();
     }
 
     private static ClusterMap map(World world) {
@@ -61,11 +102,15 @@
     }
 
     private static long running(World world, String job) {
-        return world.cloud.machines.values().stream().mapToLong(m -> m.running(job)).sum();
+        return world.cloud.machines.values().stream()
+                .mapToLong(m -> m.running(job))
+                .sum();
     }
 
     private static List<SimWorker> with(World world, String job) {
-        return world.cloud.machines.values().stream().filter(m -> m.running(job) > 0).toList();
+        return world.cloud.machines.values().stream()
+                .filter(m -> m.running(job) > 0)
+                .toList();
     }
 
     /** All troubles are over: no job is forgotten or left waiting, and in the end nothing but final states is left. */
@@ -82,8 +127,9 @@
     }
 
     /**
-     * Refuses the leader alone, has another confirm the cancellation, then is out for all; returns when it was confirmed. If
-     * it is to stay untold, who confirmed it ends at once, so that the leader, which still hears a peer, has no word of it.
+     * Refuses the leader alone, has another confirm the cancellation, then is out for all; returns when it was
+     * confirmed. If it is to stay untold, who confirmed it ends at once, so that the leader, which still hears a peer,
+     * has no word of it.
      */
     private static long gap(World world, SimNode leader, long afterMs, boolean untold) {
         world.state.refused.add(leader.name);
@@ -104,8 +150,8 @@
     }
 
     /**
-     * The gap: the leader, refused alone, never sees the cancellations that others confirmed just before the outage, and
-     * the workers keep reporting to it.
+     * The gap: the leader, refused alone, never sees the cancellations that others confirmed just before the outage,
+     * and the workers keep reporting to it.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
@@ -116,7 +162,9 @@
         assertEquals(18, running(world, JOB));
         SimNode leader = leader(world);
         long confirmed = gap(world, leader, 300 * seed, true);
-        assertTrue(world.cloud.machines.values().stream().anyMatch(m -> m.running() > 0 && m.reportsTo().equals(leader.name)),
+        assertTrue(
+                world.cloud.machines.values().stream()
+                        .anyMatch(m -> m.running() > 0 && m.reportsTo().equals(leader.name)),
                 "tasks run on machines that report to the one that was refused");
         world.run(confirmed + 10_000);
         assertTrue(running(world, JOB) > 0, "it cannot know yet");
@@ -126,7 +174,10 @@
         calm(world, 200_000);
     }
 
-    /** The times of the deployments with the shortest and the longest lease: what is lost follows from them, not from seconds in the code. */
+    /**
+     * The times of the deployments with the shortest and the longest lease: what is lost follows from them, not from
+     * seconds in the code.
+     */
     @ParameterizedTest
     @CsvSource({"2.5, 14, 44", "5, 31, 61"})
     void controllersThatEndAndARollCostNoTaskWhateverTheLease(double reportS, double leaseS, double cancelS) {
@@ -198,8 +249,27 @@
         }
         world.run(40_000);
         assertTrue(world.cloud.machines.values().stream().allMatch(m -> m.running() >= 3), "the fleet is full");
-        world.users.submit(new Job(id(7), "lot", "blue", Priority.CRITICAL, 8, 1, 0, 1, "image", 1, List.of(), null, false, false,
-                true, 5, 0, 0, 20, 0));
+        world.users.submit(new Job(
+                id(7),
+                "lot",
+                "blue",
+                Priority.CRITICAL,
+                8,
+                1,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                5,
+                0,
+                0,
+                20,
+                0));
         world.run(75_000);
         assertEquals(8, world.lately("start " + id(7)).lines().count(), "urgent tasks began");
         assertTrue(world.lately("STOPPED").lines().count() > 0, "others were stopped for them");
@@ -245,7 +315,10 @@
         for (SimWorker m : world.cloud.machines.values()) {
             m.cutFrom.addAll(m.zone.equals("west") ? List.of("n1", "n2") : List.of("n0"));
         }
-        long west = world.cloud.machines.values().stream().filter(m -> m.zone.equals("west")).mapToLong(SimWorker::running).sum();
+        long west = world.cloud.machines.values().stream()
+                .filter(m -> m.zone.equals("west"))
+                .mapToLong(SimWorker::running)
+                .sum();
         assertTrue(west > 0, "tasks run in the zone");
         world.users.cancelAt(world.nodes.get("n1"), JOB);
         world.users.submit(job(2, Priority.HIGH, 6, 2, 5));
@@ -301,13 +374,16 @@
         world.after(12_000, () -> leader(world).crash(3000));
         world.run(50_000);
         assertTrue(world.state.lateTried > 20, world.state.lateTried + " late");
-        assertTrue(world.state.lateApplied > 0 && world.state.lateApplied < world.state.lateTried,
+        assertTrue(
+                world.state.lateApplied > 0 && world.state.lateApplied < world.state.lateTried,
                 world.state.lateApplied + " of " + world.state.lateTried + " changed something");
         world.state.lateWrites = 0;
         calm(world, 300_000);
     }
 
-    /** Commands held up by a machine that hangs are carried out when it goes on, and their job is cancelled meanwhile. */
+    /**
+     * Commands held up by a machine that hangs are carried out when it goes on, and their job is cancelled meanwhile.
+     */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void aCommandIsHeldUpForSecondsAndItsJobIsCancelledMeanwhile(long seed) {
@@ -415,7 +491,9 @@
             world.after(i * 800L, () -> world.users.submit(job));
         }
         calm(world, 100_000);
-        long cancelled = world.state.all(Keys.FINALS).values().stream().filter(f -> ((Value.FinalRecord) f).aborted()).count();
+        long cancelled = world.state.all(Keys.FINALS).values().stream()
+                .filter(f -> ((Value.FinalRecord) f).aborted())
+                .count();
         assertTrue(cancelled > 0 && cancelled < 30, cancelled + " of 30 were cancelled before their end was written");
     }
 
@@ -450,7 +528,8 @@
         world.run(40_000);
         long before = running(world, JOB) + running(world, id(2)) + running(world, id(3));
         assertTrue(before * 2 > limit * 0.95, before + " tasks are as many as the limit allows");
-        List<SimWorker> lost = with(world, JOB).subList(0, Math.max(1, with(world, JOB).size() / 3));
+        List<SimWorker> lost =
+                with(world, JOB).subList(0, Math.max(1, with(world, JOB).size() / 3));
         lost.forEach(m -> m.cut = true);
         leader(world).crash(6000);
         world.run(41_000);
@@ -504,7 +583,10 @@
         assertTrue(mute.running() > 0, "commands reach it");
         world.run(40_000);
         String launched = world.lately("on " + mute.name);
-        assertFalse(launched.lines().anyMatch(l -> l.contains(" start ") && Long.parseLong(l.substring(0, l.indexOf(' '))) > 33_000),
+        assertFalse(
+                launched.lines()
+                        .anyMatch(
+                                l -> l.contains(" start ") && Long.parseLong(l.substring(0, l.indexOf(' '))) > 33_000),
                 "nothing more began there\n" + launched);
         mute.mute = false;
         calm(world, 300_000);
@@ -572,7 +654,10 @@
         calm(world, 300_000);
     }
 
-    /** A launch that was recorded before the gap, and did not arrive, is not sent again on what its controller knew then. */
+    /**
+     * A launch that was recorded before the gap, and did not arrive, is not sent again on what its controller knew
+     * then.
+     */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aLaunchIsNotSentAgainOnAViewThatLacksItsCancellation(long seed) {
