--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -26,9 +26,27 @@
 
     /** Blue's limit is lent launch by launch, green's is shared by the controllers, red has none. */
     private static Settings settings(int controllers) {
-        return new Settings("none", names(controllers),
-                Map.of("green", new Settings.Team("green", 6, 0, 4.0 * controllers, 0), "blue", new Settings.Team("blue", 6, 0, 11.5, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
-                List.of(new Settings.Objective("finished", null, 60)), List.of("east", "west"), 3, 20, 50, 150, 60, 16_384, 16, 10, 3,
+        return new Settings(
+                "none",
+                names(controllers),
+                Map.of(
+                        "green",
+                        new Settings.Team("green", 6, 0, 4.0 * controllers, 0),
+                        "blue",
+                        new Settings.Team("blue", 6, 0, 11.5, 0),
+                        "red",
+                        new Settings.Team("red", 0, 0, 0, 0)),
+                List.of(new Settings.Objective("finished", null, 60)),
+                List.of("east", "west"),
+                3,
+                20,
+                50,
+                150,
+                60,
+                16_384,
+                16,
+                10,
+                3,
                 new Settings.Tuning(3000, 9, 20, 4, 4));
     }
 
@@ -73,7 +91,9 @@
     private static void strike(World world) {
         List<SimNode> nodes = List.copyOf(world.nodes.values());
         SimNode node = nodes.get(world.random.nextInt(nodes.size()));
-        List<SimWorker> machines = world.cloud.machines.values().stream().filter(m -> !m.gone && m.up).toList();
+        List<SimWorker> machines = world.cloud.machines.values().stream()
+                .filter(m -> !m.gone && m.up)
+                .toList();
         SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
         int which = world.random.nextInt(39);
         world.trace("strike " + which + " " + node.name + " " + (machine == null ? "" : machine.name));
@@ -146,7 +166,8 @@
             case 20 -> {
                 // Back at once, and then again in the middle of what the first return set off.
                 nodes.forEach(n -> crash(world, n, world.between(50, 400)));
-                world.after(world.between(500, 1500), () -> nodes.forEach(n -> crash(world, n, world.between(50, 400))));
+                world.after(
+                        world.between(500, 1500), () -> nodes.forEach(n -> crash(world, n, world.between(50, 400))));
             }
             case 21 -> {
                 if (machine != null) {
@@ -194,7 +215,9 @@
             case 32, 33 -> {
                 // Called off at once, and some of their machines hang.
                 for (String id : world.users.cancelSome(3)) {
-                    machines.stream().filter(m -> m.running(id) > 0).findAny()
+                    machines.stream()
+                            .filter(m -> m.running(id) > 0)
+                            .findAny()
                             .ifPresent(m -> hang(world, m, world.between(5000, 40_000)));
                 }
             }
@@ -203,11 +226,15 @@
                 world.after(20_000, () -> world.users.cancelAtEnd = 0);
             }
             case 35 -> {
-                // The gap: one alone is refused, others confirm cancellations, then it is out for all for longer than cancel_s.
+                // The gap: one alone is refused, others confirm cancellations, then it is out for all for longer than
+                // cancel_s.
                 SimNode leader = leader(world, node);
                 world.state.refused.add(leader.name);
                 world.after(world.between(100, 1500), () -> world.users.cancelSome(3));
-                world.after(2000, () -> world.state.outage((long) (world.settings.cancelS() * 1000) + world.between(2000, 12_000)));
+                world.after(
+                        2000,
+                        () -> world.state.outage(
+                                (long) (world.settings.cancelS() * 1000) + world.between(2000, 12_000)));
                 world.after(14_000, () -> world.state.refused.remove(leader.name));
             }
             case 36 -> {
@@ -215,7 +242,8 @@
                     world.after(i * 4000L, () -> crash(world, leader(world, node), world.between(200, 5000)));
                 }
             }
-            case 37 -> nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
+            case 37 ->
+                nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
             default -> {
                 world.trouble = 0.2;
                 world.after(5000, () -> world.trouble = world.now() < STORM_MS ? 0.02 : 0);
@@ -224,8 +252,9 @@
     }
 
     /**
-     * A machine hangs once, for less than a cancellation has: with one that hung for longer, all controllers gone and the state
-     * service out, nobody would be left who could know what to end. ScenarioTest and MeetingsTest have longer ones.
+     * A machine hangs once, for less than a cancellation has: with one that hung for longer, all controllers gone and
+     * the state service out, nobody would be left who could know what to end. ScenarioTest and MeetingsTest have longer
+     * ones.
      */
     private static void hang(World world, SimWorker machine, int ms) {
         if (machine != null && machine.hangsUntil == 0) {
@@ -252,18 +281,27 @@
             long seed = 1000 + group * RUNS_PER_GROUP + i;
             World world = run(seed, controllers, World.Broken.NONE);
             assertTrue(world.checker.starts > 50, "seed " + seed + ": only " + world.checker.starts + " starts");
-            assertTrue(world.users.accepted().size() > 30, "seed " + seed + ": " + world.users.accepted().size() + " accepted");
+            assertTrue(
+                    world.users.accepted().size() > 30,
+                    "seed " + seed + ": " + world.users.accepted().size() + " accepted");
             for (String id : world.users.accepted()) {
-                assertNotNull(world.state.get(Keys.fin(id)), "seed " + seed + ": " + id + " never ended\n" + world.lately(id) + world.describe(id));
+                assertNotNull(
+                        world.state.get(Keys.fin(id)),
+                        "seed " + seed + ": " + id + " never ended\n" + world.lately(id) + world.describe(id));
             }
-            assertEquals(Map.of(), world.state.all(Keys.JOBS), "seed " + seed + ": jobs that are over leave nothing but their final state");
+            assertEquals(
+                    Map.of(),
+                    world.state.all(Keys.JOBS),
+                    "seed " + seed + ": jobs that are over leave nothing but their final state");
             assertEquals(Map.of(), world.state.all(Keys.SLICES), "seed " + seed);
         }
     }
 
     /** The checker is worth something only if it sees a rule broken once its guard is gone. */
     @ParameterizedTest
-    @EnumSource(value = World.Broken.class, names = {"TEAM_GUARD", "SLICE_GUARD", "JOB_GUARD", "WORKER_TOKEN"})
+    @EnumSource(
+            value = World.Broken.class,
+            names = {"TEAM_GUARD", "SLICE_GUARD", "JOB_GUARD", "WORKER_TOKEN"})
     void theCheckerSeesABrokenGuard(World.Broken broken) {
         for (long seed = 100; seed <= 400; seed++) {
             try {
--- a/src/test/java/dewlane/sim/ScaleTest.java
+++ b/src/test/java/dewlane/sim/ScaleTest.java
@@ -13,7 +13,9 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-/** Sixteen hundred machines, seven controllers and arrays of hundreds of tasks: what is counted must not grow with them. */
+/**
+ * Sixteen hundred machines, seven controllers and arrays of hundreds of tasks: what is counted must not grow with them.
+ */
 class ScaleTest {
     private static final int CONTROLLERS = 7;
     private static final int MACHINES = 1600;
@@ -21,9 +23,24 @@
     private static final long ARRIVE_MS = 1000;
 
     private static World world(double idleS) {
-        List<String> names = IntStream.range(0, CONTROLLERS).mapToObj(i -> "n" + i).toList();
-        Settings settings = new Settings("none", names, Map.of("blue", new Settings.Team("blue", 600, 0, 3000, 0)),
-                List.of(), List.of("east", "west"), 5, 29, 59, 150, 30, 32_768, 16, 4, 4, new Settings.Tuning(3000, 12, idleS, 4, 256));
+        List<String> names =
+                IntStream.range(0, CONTROLLERS).mapToObj(i -> "n" + i).toList();
+        Settings settings = new Settings(
+                "none",
+                names,
+                Map.of("blue", new Settings.Team("blue", 600, 0, 3000, 0)),
+                List.of(),
+                List.of("east", "west"),
+                5,
+                29,
+                59,
+                150,
+                30,
+                32_768,
+                16,
+                4,
+                4,
+                new Settings.Tuning(3000, 12, idleS, 4, 256));
         World world = new World(11, settings, World.Broken.NONE);
         world.trouble = 0;
         world.cloud.room = MACHINES;
@@ -40,8 +57,27 @@
     }
 
     private static Job job(int i, int tasks) {
-        return new Job(String.format("wk-%06d", i), "lot", "blue", Priority.HIGH, tasks, 2, 0, 4, "image-" + i % 10, 1,
-                List.of(), null, false, false, true, 9, 0, 0, 60, 0);
+        return new Job(
+                String.format("wk-%06d", i),
+                "lot",
+                "blue",
+                Priority.HIGH,
+                tasks,
+                2,
+                0,
+                4,
+                "image-" + i % 10,
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                9,
+                0,
+                0,
+                60,
+                0);
     }
 
     @Test
@@ -96,6 +132,8 @@
         World world = world(30);
         world.run(110_000);
         assertEquals(0, world.cloud.machines.size());
-        assertTrue(world.state.machineChanges < 200, world.state.machineChanges + " changes for " + MACHINES + " machines");
+        assertTrue(
+                world.state.machineChanges < 200,
+                world.state.machineChanges + " changes for " + MACHINES + " machines");
     }
 }
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -27,8 +27,27 @@
     }
 
     private static Job job(int tasks, double cpus, List<String> types, boolean spot, double estimateS) {
-        return new Job("wk-000001", "lot", "blue", Priority.HIGH, tasks, cpus, 0, 1, "image", 1, types, null, false, false,
-                spot, estimateS, 0, 0, 0, 0);
+        return new Job(
+                "wk-000001",
+                "lot",
+                "blue",
+                Priority.HIGH,
+                tasks,
+                cpus,
+                0,
+                1,
+                "image",
+                1,
+                types,
+                null,
+                false,
+                false,
+                spot,
+                estimateS,
+                0,
+                0,
+                0,
+                0);
     }
 
     /** Found by the random runs: a demand of a small part of a machine was rounded down to none, for ever. */
@@ -91,8 +110,8 @@
     }
 
     /**
-     * Found in a day's log: each hand-over of waiting tasks made a slice, until a job had more of them than one transaction may
-     * delete, and never ended.
+     * Found in a day's log: each hand-over of waiting tasks made a slice, until a job had more of them than one
+     * transaction may delete, and never ended.
      */
     @Test
     void aJobThatIsHandedOnManyTimesCanStillEnd() {
@@ -152,20 +171,47 @@
         World world = quietWorld(6);
         submitOn(world, 1, 90);
         world.run(16_000);
-        SimWorker deaf = world.cloud.machines.values().stream().filter(m -> m.running() > 0).findFirst().orElseThrow();
+        SimWorker deaf = world.cloud.machines.values().stream()
+                .filter(m -> m.running() > 0)
+                .findFirst()
+                .orElseThrow();
         deaf.deafTo = deaf.reportsTo();
         for (int i = 2; i < 60; i++) {
-            world.users.submit(new Job(String.format("wk-%06d", i), "lot", "blue", Priority.HIGH, 9, 0.02, 0, 0.01, "image", 1,
-                    List.of(), null, false, false, true, 1, 0, 0, 0, 0));
+            world.users.submit(new Job(
+                    String.format("wk-%06d", i),
+                    "lot",
+                    "blue",
+                    Priority.HIGH,
+                    9,
+                    0.02,
+                    0,
+                    0.01,
+                    "image",
+                    1,
+                    List.of(),
+                    null,
+                    false,
+                    false,
+                    true,
+                    1,
+                    0,
+                    0,
+                    0,
+                    0));
             for (int step = 0; step < 10; step++) {
                 world.run(world.now() + 100);
-                boolean launched = world.state.all(Keys.SLICES).entrySet().stream().anyMatch(e -> !e.getKey().contains("wk-000001")
-                        && ((Value.Slice) e.getValue()).attempts().stream().anyMatch(a -> a.machine().equals(deaf.name)
-                                && a.launchedMs() > 1_023_500));
+                boolean launched = world.state.all(Keys.SLICES).entrySet().stream()
+                        .anyMatch(e -> !e.getKey().contains("wk-000001")
+                                && ((Value.Slice) e.getValue())
+                                        .attempts().stream()
+                                                .anyMatch(a ->
+                                                        a.machine().equals(deaf.name) && a.launchedMs() > 1_023_500));
                 assertFalse(launched && world.now() < 28_000, "launched at " + world.now());
             }
         }
-        assertTrue(((Value.ClusterMap) world.state.get(Keys.MAP)).moved().containsKey(deaf.name), "one that it hears has it");
+        assertTrue(
+                ((Value.ClusterMap) world.state.get(Keys.MAP)).moved().containsKey(deaf.name),
+                "one that it hears has it");
         world.run(200_000);
         assertEquals(1, world.lately("start wk-000001/").lines().count(), "and lost nothing");
         assertNotNull(world.state.get(Keys.fin("wk-000001")));
@@ -220,8 +266,12 @@
         submitOn(world, 14, 5);
         world.run(140_000);
         assertEquals(map, world.state.get(Keys.MAP), "no machine was moved");
-        assertEquals(Map.of(), world.state.all(Keys.MACHINES).entrySet().stream().filter(e -> !records.containsKey(e.getKey()))
-                .collect(java.util.stream.Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)), "none was condemned");
+        assertEquals(
+                Map.of(),
+                world.state.all(Keys.MACHINES).entrySet().stream()
+                        .filter(e -> !records.containsKey(e.getKey()))
+                        .collect(java.util.stream.Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)),
+                "none was condemned");
         assertFalse(world.lately("wk-000001/").contains("on " + machine.name));
         assertEquals(14, world.checker.starts, "nothing was launched on what is gone");
     }
@@ -236,8 +286,27 @@
         node.cutFromState = true;
         node.cutFromPeers = true;
         world.run(45_000);
-        world.users.submit(new Job("wk-000002", "lot", "blue", Priority.HIGH, 18, 1, 0, 1, "image", 1, List.of(), null,
-                false, false, true, 5, 0, 0, 0, 0));
+        world.users.submit(new Job(
+                "wk-000002",
+                "lot",
+                "blue",
+                Priority.HIGH,
+                18,
+                1,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                5,
+                0,
+                0,
+                0,
+                0));
         world.run(120_000);
         assertNotNull(world.state.get(Keys.fin("wk-000002")), "its machines serve others");
         node.cutFromState = false;
@@ -273,11 +342,15 @@
         world.run(200_000);
         Value.ClusterMap map = (Value.ClusterMap) world.state.get(Keys.MAP);
         assertTrue(map.epoch() >= 5, "n2 left and came back");
-        assertTrue(world.cloud.machines.values().stream().anyMatch(m -> m.seal() >> 20 < map.epoch() - 1), "some kept their token");
+        assertTrue(
+                world.cloud.machines.values().stream().anyMatch(m -> m.seal() >> 20 < map.epoch() - 1),
+                "some kept their token");
         assertNotNull(world.state.get(Keys.fin("wk-000001")));
     }
 
-    /** Seen on a grown deployment: each wandering worker of a dead controller made a map, and each map undid launches. */
+    /**
+     * Seen on a grown deployment: each wandering worker of a dead controller made a map, and each map undid launches.
+     */
     @Test
     void aControllerThatDiesAndReturnsCostsTwoMaps() {
         World world = quietWorld(30);
@@ -290,7 +363,9 @@
         assertEquals(60, world.checker.starts);
     }
 
-    /** Found by a score that fell: with room nowhere, all parts looked alike, and the first got all work that waited. */
+    /**
+     * Found by a score that fell: with room nowhere, all parts looked alike, and the first got all work that waited.
+     */
     @Test
     void whatFindsNoRoomWaitsWhereLeastDoes() {
         World world = quietWorld(3);
@@ -301,10 +376,31 @@
         Map<String, Integer> waiting = new java.util.HashMap<>();
         for (int i = 2; i < 11; i++) {
             String id = String.format("wk-%06d", i);
-            world.users.submit(new Job(id, "lot", "blue", Priority.HIGH, 10, 1, 0, 1, "image", 1, List.of(), null, false, false,
-                    true, 300, 0, 0, 0, 0));
+            world.users.submit(new Job(
+                    id,
+                    "lot",
+                    "blue",
+                    Priority.HIGH,
+                    10,
+                    1,
+                    0,
+                    1,
+                    "image",
+                    1,
+                    List.of(),
+                    null,
+                    false,
+                    false,
+                    true,
+                    300,
+                    0,
+                    0,
+                    0,
+                    0));
             world.run(world.now() + 1000);
-            ((Value.JobRecord) world.state.get(Keys.job(id))).deals().forEach(d -> waiting.merge(d.owner(), d.count(), Integer::sum));
+            ((Value.JobRecord) world.state.get(Keys.job(id)))
+                    .deals()
+                    .forEach(d -> waiting.merge(d.owner(), d.count(), Integer::sum));
         }
         assertEquals(Map.of("n0", 30, "n1", 30, "n2", 30), waiting);
     }
@@ -317,7 +413,10 @@
         large.boot();
         world.run(15_000);
         String has = Parts.owner((Value.ClusterMap) world.state.get(Keys.MAP), large.name);
-        String hasNot = world.nodes.keySet().stream().filter(n -> !n.equals(has)).findFirst().orElseThrow();
+        String hasNot = world.nodes.keySet().stream()
+                .filter(n -> !n.equals(has))
+                .findFirst()
+                .orElseThrow();
         BitSet done = new BitSet();
         done.set(2);
         Job job = job(3, 4, List.of("large"), true, 5);
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -55,43 +55,52 @@
     }
 
     void rent(SimNode node, Effect.Rent e) {
-        node.call(() -> true, () -> {
-            if (out) {
-                return new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of());
-            }
-            List<String> names = requests.get(e.request());
-            if (names == null) {
-                names = new ArrayList<>();
-                long there = machines.values().stream().filter(m -> !m.gone).count();
-                for (int i = 0; i < e.count() && there + i < room; i++) {
-                    SimWorker m = create(e.type(), e.zone(), e.spot());
-                    names.add(m.name);
-                    if (!world.chance(0.1)) {
-                        world.after(world.between(2000, 9000), m::boot);
+        node.call(
+                () -> true,
+                () -> {
+                    if (out) {
+                        return new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of());
                     }
-                }
-                if (names.isEmpty()) {
-                    return new Input.Rented(e.request(), Input.RentStatus.NO_CAPACITY, List.of());
-                }
-                requests.put(e.request(), names);
-            }
-            return new Input.Rented(e.request(), Input.RentStatus.RENTED, names);
-        }, new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of()), 5000);
+                    List<String> names = requests.get(e.request());
+                    if (names == null) {
+                        names = new ArrayList<>();
+                        long there =
+                                machines.values().stream().filter(m -> !m.gone).count();
+                        for (int i = 0; i < e.count() && there + i < room; i++) {
+                            SimWorker m = create(e.type(), e.zone(), e.spot());
+                            names.add(m.name);
+                            if (!world.chance(0.1)) {
+                                world.after(world.between(2000, 9000), m::boot);
+                            }
+                        }
+                        if (names.isEmpty()) {
+                            return new Input.Rented(e.request(), Input.RentStatus.NO_CAPACITY, List.of());
+                        }
+                        requests.put(e.request(), names);
+                    }
+                    return new Input.Rented(e.request(), Input.RentStatus.RENTED, names);
+                },
+                new Input.Rented(e.request(), Input.RentStatus.UNKNOWN, List.of()),
+                5000);
     }
 
     void delete(SimNode node, List<String> names) {
-        node.call(() -> true, () -> {
-            if (out) {
-                return new Input.Deleted(names, false);
-            }
-            names.forEach(n -> {
-                SimWorker m = machines.remove(n);
-                if (m != null) {
-                    m.vanish();
-                }
-            });
-            return new Input.Deleted(names, true);
-        }, new Input.Deleted(names, false), 5000);
+        node.call(
+                () -> true,
+                () -> {
+                    if (out) {
+                        return new Input.Deleted(names, false);
+                    }
+                    names.forEach(n -> {
+                        SimWorker m = machines.remove(n);
+                        if (m != null) {
+                            m.vanish();
+                        }
+                    });
+                    return new Input.Deleted(names, true);
+                },
+                new Input.Deleted(names, false),
+                5000);
     }
 
     void command(SimNode node, Effect.Command e) {
@@ -114,11 +123,14 @@
         if (node.cutFromWorkers) {
             return;
         }
-        world.deliver(() -> m.whenAwake(node.name, () -> world.deliver(() -> {
-            if (!heard[0] && !node.cutFromWorkers) {
-                heard[0] = true;
-                node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), launches, m.report()));
-            }
-        }), () -> m.command(e, sentAt)));
+        world.deliver(() -> m.whenAwake(
+                node.name,
+                () -> world.deliver(() -> {
+                    if (!heard[0] && !node.cutFromWorkers) {
+                        heard[0] = true;
+                        node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), launches, m.report()));
+                    }
+                }),
+                () -> m.command(e, sentAt)));
     }
 }
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -20,12 +20,13 @@
 /** A controller process: the real core, with everything round it made up. */
 final class SimNode {
     /** A worker's answer: the status, and for 200 the token and orders, for 421 the node to report to. */
-    record ReportAnswer(int status, long token, java.util.List<Order> orders, String node) { }
+    record ReportAnswer(int status, long token, java.util.List<Order> orders, String node) {}
 
     final World world;
     final String name;
     /** Grows with every start; messages for an earlier life are dropped. */
     int life;
+
     boolean alive;
     boolean cutFromState;
     boolean cutFromWorkers;
@@ -59,8 +60,22 @@
 
     private dewlane.core.Settings settingsOf(String node) {
         dewlane.core.Settings s = world.settings;
-        return new dewlane.core.Settings(node, s.peers(), s.teams(), s.objectives(), s.zones(), s.reportS(), s.leaseS(), s.cancelS(),
-                s.stateRps(), s.stateWriteRps(), s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.tuning());
+        return new dewlane.core.Settings(
+                node,
+                s.peers(),
+                s.teams(),
+                s.objectives(),
+                s.zones(),
+                s.reportS(),
+                s.leaseS(),
+                s.cancelS(),
+                s.stateRps(),
+                s.stateWriteRps(),
+                s.valueBytes(),
+                s.txnOps(),
+                s.cloudRps(),
+                s.listLagS(),
+                s.tuning());
     }
 
     private void ticks(int of) {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -15,12 +15,13 @@
 
 /** The state service: conditional writes, leases and a watch, with outages, refusals to one node and late writes. */
 final class SimState {
-    private record Held(Value value, long version, long lease) { }
+    private record Held(Value value, long version, long lease) {}
 
-    private record Watch(SimNode node, int life, long since, long openedAt) { }
+    private record Watch(SimNode node, int life, long since, long openedAt) {}
 
     /** How long a watch blocks without a change, and how long its caller waits for it in all. */
     private static final long BLOCK_MS = 1000;
+
     private static final long WATCH_TIMEOUT_MS = 2500;
 
     private final World world;
@@ -36,9 +37,11 @@
     double lateWrites;
     /** Transactions carried out late, and how many of them still changed something. */
     int lateTried;
+
     int lateApplied;
     /** Puts and deletes so far but of machines' records, and the longest value and transaction, in bytes. */
     long changes;
+
     long machineChanges;
     int longestValue;
     int longestTxn;
@@ -76,18 +79,21 @@
     }
 
     void list(SimNode node) {
-        node.callState(() -> {
-            if (!serves(node)) {
-                return new Input.ListFailed();
-            }
-            List<Input.Row> rows = new ArrayList<>();
-            keys.forEach((k, v) -> {
-                if (!k.startsWith(Keys.FINALS)) {
-                    rows.add(new Input.Row(k, v.value, v.version));
-                }
-            });
-            return new Input.StateListed(rows, revision, revision);
-        }, new Input.ListFailed(), 3000);
+        node.callState(
+                () -> {
+                    if (!serves(node)) {
+                        return new Input.ListFailed();
+                    }
+                    List<Input.Row> rows = new ArrayList<>();
+                    keys.forEach((k, v) -> {
+                        if (!k.startsWith(Keys.FINALS)) {
+                            rows.add(new Input.Row(k, v.value, v.version));
+                        }
+                    });
+                    return new Input.StateListed(rows, revision, revision);
+                },
+                new Input.ListFailed(),
+                3000);
     }
 
     void watch(SimNode node, long since) {
@@ -121,7 +127,8 @@
                 left.add(w);
                 continue;
             }
-            List<Input.Change> changes = log.stream().filter(c -> c.version() > w.since).toList();
+            List<Input.Change> changes =
+                    log.stream().filter(c -> c.version() > w.since).toList();
             long at = revision;
             world.after(world.between(1, 6), () -> w.node.hear(w.life, new Input.Changes(changes, at)));
         }
@@ -142,8 +149,10 @@
             world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0)));
             return;
         }
-        node.callState(() -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
-                new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0), 1500);
+        node.callState(
+                () -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
+                new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0),
+                1500);
     }
 
     /** True if the changes are within the rate, with a burst of one second's worth. */
@@ -174,14 +183,19 @@
             }
         }
         if (txn.apply().size() > world.settings.txnOps() || txn.when().size() > 4 * world.settings.txnOps()) {
-            throw new AssertionError("a transaction of " + txn.apply().size() + " changes and " + txn.when().size() + " conditions");
+            throw new AssertionError("a transaction of " + txn.apply().size() + " changes and "
+                    + txn.when().size() + " conditions");
         }
         int bytes = StateWire.txn(txn).length;
         if (bytes > 65_536) {
             throw new AssertionError("a transaction of " + bytes + " bytes");
         }
-        machineChanges += txn.apply().stream().filter(w -> w.key().startsWith(Keys.MACHINES)).count();
-        changes += txn.apply().stream().filter(w -> !w.key().startsWith(Keys.MACHINES)).count();
+        machineChanges += txn.apply().stream()
+                .filter(w -> w.key().startsWith(Keys.MACHINES))
+                .count();
+        changes += txn.apply().stream()
+                .filter(w -> !w.key().startsWith(Keys.MACHINES))
+                .count();
         longestTxn = Math.max(longestTxn, bytes);
         if (!txn.apply().isEmpty()) {
             revision++;
@@ -216,35 +230,46 @@
     }
 
     void read(SimNode node, long id, String key) {
-        node.callState(() -> {
-            Held held = keys.get(key);
-            return serves(node) ? new Input.ValueRead(id, true, held == null ? null : held.value, held == null ? 0 : held.version)
-                    : new Input.ValueRead(id, false, null, 0);
-        }, new Input.ValueRead(id, false, null, 0), 1500);
+        node.callState(
+                () -> {
+                    Held held = keys.get(key);
+                    return serves(node)
+                            ? new Input.ValueRead(
+                                    id, true, held == null ? null : held.value, held == null ? 0 : held.version)
+                            : new Input.ValueRead(id, false, null, 0);
+                },
+                new Input.ValueRead(id, false, null, 0),
+                1500);
     }
 
     void grant(SimNode node, long ttl) {
-        node.callState(() -> {
-            if (!serves(node)) {
-                return new Input.LeaseGranted(0);
-            }
-            long lease = nextLease++;
-            leases.put(lease, world.now() + ttl);
-            return new Input.LeaseGranted(lease);
-        }, new Input.LeaseGranted(0), 1500);
+        node.callState(
+                () -> {
+                    if (!serves(node)) {
+                        return new Input.LeaseGranted(0);
+                    }
+                    long lease = nextLease++;
+                    leases.put(lease, world.now() + ttl);
+                    return new Input.LeaseGranted(lease);
+                },
+                new Input.LeaseGranted(0),
+                1500);
     }
 
     void touch(SimNode node, long lease, long ttl) {
-        node.callState(() -> {
-            if (!serves(node)) {
-                return new Input.LeaseTouched(lease, false, false);
-            }
-            boolean there = leases.containsKey(lease);
-            if (there) {
-                leases.put(lease, world.now() + ttl);
-            }
-            return new Input.LeaseTouched(lease, there, !there);
-        }, new Input.LeaseTouched(lease, false, false), 1000);
+        node.callState(
+                () -> {
+                    if (!serves(node)) {
+                        return new Input.LeaseTouched(lease, false, false);
+                    }
+                    boolean there = leases.containsKey(lease);
+                    if (there) {
+                        leases.put(lease, world.now() + ttl);
+                    }
+                    return new Input.LeaseTouched(lease, there, !there);
+                },
+                new Input.LeaseTouched(lease, false, false),
+                1000);
     }
 
     void outage(long ms) {
@@ -261,10 +286,16 @@
         if (out) {
             return;
         }
-        List<Long> ended = leases.entrySet().stream().filter(e -> e.getValue() < world.now()).map(Map.Entry::getKey).toList();
+        List<Long> ended = leases.entrySet().stream()
+                .filter(e -> e.getValue() < world.now())
+                .map(Map.Entry::getKey)
+                .toList();
         for (long lease : ended) {
             leases.remove(lease);
-            List<String> dead = keys.entrySet().stream().filter(e -> e.getValue().lease == lease).map(Map.Entry::getKey).toList();
+            List<String> dead = keys.entrySet().stream()
+                    .filter(e -> e.getValue().lease == lease)
+                    .map(Map.Entry::getKey)
+                    .toList();
             if (!dead.isEmpty()) {
                 revision++;
                 for (String key : dead) {
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -17,6 +17,7 @@
     private final List<String> accepted = new ArrayList<>();
     /** When a question about the job was last answered. */
     private final Map<String, Long> answeredAt = new HashMap<>();
+
     private int next = 1;
     /** The share of jobs that are cancelled at the moment at which their last task ends. */
     double cancelAtEnd;
@@ -35,11 +36,27 @@
         String id = String.format("wk-%06d", next++);
         String team = List.of("blue", "red", "green").get(world.random.nextInt(3));
         boolean oneZone = world.chance(0.15);
-        Job job = new Job(id, "lot", team, Priority.values()[world.random.nextInt(4)], world.between(1, 14),
-                world.between(1, 2), 0, world.between(1, 5), "image-" + world.random.nextInt(3), 1,
-                world.chance(0.2) ? List.of("large") : List.of(), world.chance(0.2) ? "east" : null,
-                oneZone, !oneZone && world.chance(0.15), world.chance(0.7), world.between(1, 12),
-                world.chance(0.5) ? 5 : 0, world.chance(0.5) ? 2 : 0, 0, 0);
+        Job job = new Job(
+                id,
+                "lot",
+                team,
+                Priority.values()[world.random.nextInt(4)],
+                world.between(1, 14),
+                world.between(1, 2),
+                0,
+                world.between(1, 5),
+                "image-" + world.random.nextInt(3),
+                1,
+                world.chance(0.2) ? List.of("large") : List.of(),
+                world.chance(0.2) ? "east" : null,
+                oneZone,
+                !oneZone && world.chance(0.15),
+                world.chance(0.7),
+                world.between(1, 12),
+                world.chance(0.5) ? 5 : 0,
+                world.chance(0.5) ? 2 : 0,
+                0,
+                0);
         submit(job);
         if (world.chance(0.25)) {
             world.after(world.between(50, 25_000), () -> abort(id, 0));
@@ -86,8 +103,11 @@
 
     /** Calls off so many jobs that have tasks on machines, each through whichever node. */
     List<String> cancelSome(int count) {
-        List<String> chosen = accepted.stream().filter(id -> !isOver(id)
-                && world.cloud.machines.values().stream().anyMatch(m -> m.running(id) > 0)).limit(count).toList();
+        List<String> chosen = accepted.stream()
+                .filter(id ->
+                        !isOver(id) && world.cloud.machines.values().stream().anyMatch(m -> m.running(id) > 0))
+                .limit(count)
+                .toList();
         chosen.forEach(id -> world.after(world.between(0, 200), () -> abort(id, 0)));
         return chosen;
     }
@@ -104,18 +124,43 @@
         String id = String.format("wk-%06d", 900_000 + next);
         switch (world.random.nextInt(4)) {
             case 0 -> {
-                Job huge = new Job(id, "lot", "red", Priority.HIGH, 2, 999, 0, 1, "image", 1, List.of(), null, false, false,
-                        true, 5, 0, 0, 0, 0);
+                Job huge = new Job(
+                        id,
+                        "lot",
+                        "red",
+                        Priority.HIGH,
+                        2,
+                        999,
+                        0,
+                        1,
+                        "image",
+                        1,
+                        List.of(),
+                        null,
+                        false,
+                        false,
+                        true,
+                        5,
+                        0,
+                        0,
+                        0,
+                        0);
                 node.submit(huge, a -> expect(a, 422, "a job that fits no machine"));
             }
             case 1 -> node.submitMalformed(id, a -> expect(a, 400, "a job that lacks a field"));
-            case 2 -> accepted.stream().filter(known -> !isOver(known)).findAny()
-                    .ifPresent(known -> node.submit(job(known), a -> told(known, a)));
-            default -> accepted.stream().filter(known -> world.checker.lastTold(known) == Condition.DONE).findAny()
-                    .ifPresent(known -> node.abort(known, a -> {
-                        expect(a, 200, "cancelling what is done");
-                        told(known, a);
-                    }));
+            case 2 ->
+                accepted.stream()
+                        .filter(known -> !isOver(known))
+                        .findAny()
+                        .ifPresent(known -> node.submit(job(known), a -> told(known, a)));
+            default ->
+                accepted.stream()
+                        .filter(known -> world.checker.lastTold(known) == Condition.DONE)
+                        .findAny()
+                        .ifPresent(known -> node.abort(known, a -> {
+                            expect(a, 200, "cancelling what is done");
+                            told(known, a);
+                        }));
         }
     }
 
@@ -140,14 +185,16 @@
             }
         });
         if (node != null) {
-            world.deliver(() -> node.submit(job, a -> world.deliver(() -> {
-                answered[0] |= a.status() < 300;
-                told(job.id(), a);
-                if (a.status() >= 300 && !answered[0] && tries < 12) {
-                    answered[0] = true;
-                    world.after(1000, () -> submit(job, tries + 1));
-                }
-            })));
+            world.deliver(() -> node.submit(
+                    job,
+                    a -> world.deliver(() -> {
+                        answered[0] |= a.status() < 300;
+                        told(job.id(), a);
+                        if (a.status() >= 300 && !answered[0] && tries < 12) {
+                            answered[0] = true;
+                            world.after(1000, () -> submit(job, tries + 1));
+                        }
+                    })));
         }
     }
 
@@ -161,10 +208,12 @@
         });
         world.checker.asked(id);
         if (node != null) {
-            world.deliver(() -> node.abort(id, a -> world.deliver(() -> {
-                answered[0] = a.status() == 200;
-                told(id, a);
-            })));
+            world.deliver(() -> node.abort(
+                    id,
+                    a -> world.deliver(() -> {
+                        answered[0] = a.status() == 200;
+                        told(id, a);
+                    })));
         }
     }
 
@@ -175,12 +224,14 @@
             String id = all.get(world.random.nextInt(all.size()));
             boolean known = answeredAt.containsKey(id);
             long askedAt = world.now();
-            world.deliver(() -> node.poll(id, a -> world.deliver(() -> {
-                if (a.status() == 404 && known) {
-                    world.checker.broken("forgotten", id + " accepted before " + askedAt);
-                }
-                told(id, a, askedAt);
-            })));
+            world.deliver(() -> node.poll(
+                    id,
+                    a -> world.deliver(() -> {
+                        if (a.status() == 404 && known) {
+                            world.checker.broken("forgotten", id + " accepted before " + askedAt);
+                        }
+                        told(id, a, askedAt);
+                    })));
         }
         if (node != null && world.chance(0.1)) {
             node.poll("wk-999999", a -> {
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -22,6 +22,7 @@
         final int attempt;
         /** When the command or answer that launched it was sent. */
         final long orderedAt;
+
         Phase phase = Phase.FETCHING;
         End end;
         long until;
@@ -60,6 +61,7 @@
     String deafTo;
     /** Chance that a copy of a report comes late, to any controller. */
     static final double COPIES = 0.02;
+
     long hangsUntil;
     private final long rentedAt;
     final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -110,7 +112,14 @@
         for (Task t : tasks.values()) {
             cpus += t.phase == Phase.EXITED ? 0 : world.users.job(t.job).cpus();
         }
-        return up && awake() && !cut && !deaf && deafTo == null && !mute && !sick && cpus <= type.cpus() + 1e-9
+        return up
+                && awake()
+                && !cut
+                && !deaf
+                && deafTo == null
+                && !mute
+                && !sick
+                && cpus <= type.cpus() + 1e-9
                 && job.allows(type.name(), zone, spot);
     }
 
@@ -129,8 +138,14 @@
     }
 
     ListedMachine listed() {
-        return new ListedMachine(name, name + ":1", type.name(), zone, spot,
-                up ? ListedMachine.State.RUNNING : ListedMachine.State.STARTING, (world.now() - rentedAt) / 1000.0);
+        return new ListedMachine(
+                name,
+                name + ":1",
+                type.name(),
+                zone,
+                spot,
+                up ? ListedMachine.State.RUNNING : ListedMachine.State.STARTING,
+                (world.now() - rentedAt) / 1000.0);
     }
 
     private boolean awake() {
@@ -251,7 +266,10 @@
             return;
         }
         if (world.trouble > 0 && world.chance(COPIES)) {
-            copyLate(sent, world.chance(0.5) ? node : nodes.get(world.random.nextInt(nodes.size())), world.between(1000, 90_000));
+            copyLate(
+                    sent,
+                    world.chance(0.5) ? node : nodes.get(world.random.nextInt(nodes.size())),
+                    world.between(1000, 90_000));
         }
         world.deliver(() -> {
             if (!node.alive) {
@@ -260,12 +278,12 @@
             node.report(sent, answer -> {
                 long answeredAt = world.now();
                 world.deliver(() -> {
-                if (over[0] || gone || cut || deaf || node.name.equals(deafTo) || node.cutFromWorkers || !awake()) {
-                    return;
-                }
-                over[0] = true;
-                inFlight = false;
-                answered(answer, answeredAt, sentAt, of, nodes);
+                    if (over[0] || gone || cut || deaf || node.name.equals(deafTo) || node.cutFromWorkers || !awake()) {
+                        return;
+                    }
+                    over[0] = true;
+                    inFlight = false;
+                    answered(answer, answeredAt, sentAt, of, nodes);
                 });
             });
         });
@@ -288,7 +306,7 @@
     void copyLate(Report copy, SimNode to, long afterMs) {
         world.after(afterMs, () -> {
             if (to.alive) {
-                to.report(copy, answer -> { });
+                to.report(copy, answer -> {});
             }
         });
     }
@@ -364,7 +382,8 @@
 
     private void launch(Order o, String key, long sentAt) {
         Task t = new Task(o.job(), o.task(), o.attempt(), sentAt);
-        boolean busy = tasks.values().stream().anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
+        boolean busy = tasks.values().stream()
+                .anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
         double used = 0;
         for (Task x : tasks.values()) {
             used += x.phase == Phase.EXITED ? 0 : world.users.job(x.job).cpus();
--- a/src/test/java/dewlane/sim/World.java
+++ b/src/test/java/dewlane/sim/World.java
@@ -10,10 +10,16 @@
 
 /** A seeded world of stand-ins with a clock of its own: nothing in it depends on real time. */
 final class World {
-    private record Event(long at, long order, Runnable action) { }
+    private record Event(long at, long order, Runnable action) {}
 
     /** Guards that a test removes to show that the checker sees what they guard against. */
-    enum Broken { NONE, TEAM_GUARD, SLICE_GUARD, JOB_GUARD, WORKER_TOKEN }
+    enum Broken {
+        NONE,
+        TEAM_GUARD,
+        SLICE_GUARD,
+        JOB_GUARD,
+        WORKER_TOKEN
+    }
 
     final long seed;
     final Broken broken;
@@ -24,8 +30,8 @@
     final SimCloud cloud;
     final SimUsers users;
     final Map<String, SimNode> nodes = new java.util.LinkedHashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private final List<String> trace = new ArrayList<>();
     private long order;
     private long now;
@@ -45,17 +51,40 @@
         this.users = new SimUsers(this);
     }
 
-    /** Three controllers and small spot machines in the east that have settled, without troubles, and no idle machine goes back. */
+    /**
+     * Three controllers and small spot machines in the east that have settled, without troubles, and no idle machine
+     * goes back.
+     */
     static World quiet(long seed, Map<String, Settings.Team> teams, int txnOps, int machines) {
         return quiet(seed, teams, txnOps, machines, 3, 30, 60);
     }
 
     /** The same with workers' times of the deployment's own. */
-    static World quiet(long seed, Map<String, Settings.Team> teams, int txnOps, int machines, double reportS, double leaseS,
-                       double cancelS) {
+    static World quiet(
+            long seed,
+            Map<String, Settings.Team> teams,
+            int txnOps,
+            int machines,
+            double reportS,
+            double leaseS,
+            double cancelS) {
         List<String> names = List.of("n0", "n1", "n2");
-        Settings settings = new Settings("none", names, teams, List.of(), List.of("east", "west"), reportS, leaseS, cancelS, 150, 60,
-                16_384, txnOps, 10, 3, new Settings.Tuning(3000, 12, 300, 4, 256));
+        Settings settings = new Settings(
+                "none",
+                names,
+                teams,
+                List.of(),
+                List.of("east", "west"),
+                reportS,
+                leaseS,
+                cancelS,
+                150,
+                60,
+                16_384,
+                txnOps,
+                10,
+                3,
+                new Settings.Tuning(3000, 12, 300, 4, 256));
         World world = new World(seed, settings, Broken.NONE);
         world.trouble = 0;
         for (String name : names) {
@@ -102,20 +131,31 @@
 
     String lately(String about) {
         StringBuilder text = new StringBuilder();
-        trace.stream().filter(l -> l.contains(about)).forEach(l -> text.append(l).append('\n'));
+        trace.stream().filter(l -> l.contains(about)).forEach(l -> text.append(l)
+                .append('\n'));
         return text.toString();
     }
 
     /** What stands in a job's way, for a failure's message. */
     String describe(String job) {
         StringBuilder text = new StringBuilder(String.valueOf(state.get(dewlane.core.Keys.job(job))));
-        state.all(dewlane.core.Keys.SLICES).forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
-        state.all(dewlane.core.Keys.MACHINES).forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
+        state.all(dewlane.core.Keys.SLICES)
+                .forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
+        state.all(dewlane.core.Keys.MACHINES)
+                .forEach((k, v) -> text.append('\n').append(k).append(' ').append(v));
         text.append('\n').append(state.get(dewlane.core.Keys.MAP));
-        cloud.machines.values().forEach(m -> text.append('\n').append(m.name).append(' ').append(m.type.name())
-                .append(' ').append(m.zone).append(m.spot ? " spot" : "").append(m.up ? " up" : "").append(m.gone ? " gone " : " ")
+        cloud.machines.values().forEach(m -> text.append('\n')
+                .append(m.name)
+                .append(' ')
+                .append(m.type.name())
+                .append(' ')
+                .append(m.zone)
+                .append(m.spot ? " spot" : "")
+                .append(m.up ? " up" : "")
+                .append(m.gone ? " gone " : " ")
                 .append(m.tasks.keySet()));
-        trace.subList(Math.max(0, trace.size() - 40), trace.size()).forEach(l -> text.append('\n').append(l));
+        trace.subList(Math.max(0, trace.size() - 40), trace.size())
+                .forEach(l -> text.append('\n').append(l));
         return text.toString();
     }
 
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -23,7 +23,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WireTest {
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             {"uid":"wk-000412","lot":"train","house":"vision","style":"batch","rank":"high","bottles":16,
             "vcpus":8.0,"gpus":1.0,"ramGb":64.0,"blend":"img-07","pullGb":6.2,"racks":["g8"],"cellar":null,
             "samePlace":true,"scatter":false,"consignment":true,"maturingS":240.0,"rackingS":30.0,"corkingS":4.0,
@@ -36,21 +37,62 @@
     @Test
     void aGoodSubmissionIsRead() {
         Job job = submission(GOOD).job();
-        assertEquals(new Job("wk-000412", "train", "vision", Priority.HIGH, 16, 8, 1, 64, "img-07", 6.2, List.of("g8"),
-                null, true, false, true, 240, 30, 4, 900, 0), job);
-        assertEquals(0, submission(GOOD.replace("\"shipByS\":900.0", "\"new\":{}")).job().deadlineS());
+        assertEquals(
+                new Job(
+                        "wk-000412",
+                        "train",
+                        "vision",
+                        Priority.HIGH,
+                        16,
+                        8,
+                        1,
+                        64,
+                        "img-07",
+                        6.2,
+                        List.of("g8"),
+                        null,
+                        true,
+                        false,
+                        true,
+                        240,
+                        30,
+                        4,
+                        900,
+                        0),
+                job);
+        assertEquals(
+                0,
+                submission(GOOD.replace("\"shipByS\":900.0", "\"new\":{}"))
+                        .job()
+                        .deadlineS());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"bottles\":16 | \"bottles\":0", "\"bottles\":16 | \"bottles\":100001", "\"bottles\":16 | \"bottles\":16.0",
-        "\"bottles\":16 | \"bottles\":\"16\"", "\"bottles\":16 | \"bottles\":99999999999999999999",
-        "\"vcpus\":8.0 | \"vcpus\":0", "\"vcpus\":8.0 | \"vcpus\":-1", "\"vcpus\":8.0 | \"vcpus\":1e999",
-        "\"vcpus\":8.0 | \"vcpus\":null", "\"gpus\":1.0 | \"gpus\":-0.5", "\"ramGb\":64.0 | \"ramGb\":\"64\"",
-        "\"rank\":\"high\" | \"rank\":\"urgent\"", "\"style\":\"batch\" | \"style\":\"daemon\"",
-        "\"racks\":[\"g8\"] | \"racks\":[]", "\"racks\":[\"g8\"] | \"racks\":[8]", "\"racks\":[\"g8\"] | \"racks\":\"g8\"",
-        "\"samePlace\":true | \"samePlace\":1", "\"shipByS\":900.0 | \"shipByS\":0", "\"house\":\"vision\", | ",
-        "\"cellar\":null | \"cellar\":4", "\"maturingS\":240.0 | \"maturingS\":0"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"bottles\":16 | \"bottles\":0",
+                "\"bottles\":16 | \"bottles\":100001",
+                "\"bottles\":16 | \"bottles\":16.0",
+                "\"bottles\":16 | \"bottles\":\"16\"",
+                "\"bottles\":16 | \"bottles\":99999999999999999999",
+                "\"vcpus\":8.0 | \"vcpus\":0",
+                "\"vcpus\":8.0 | \"vcpus\":-1",
+                "\"vcpus\":8.0 | \"vcpus\":1e999",
+                "\"vcpus\":8.0 | \"vcpus\":null",
+                "\"gpus\":1.0 | \"gpus\":-0.5",
+                "\"ramGb\":64.0 | \"ramGb\":\"64\"",
+                "\"rank\":\"high\" | \"rank\":\"urgent\"",
+                "\"style\":\"batch\" | \"style\":\"daemon\"",
+                "\"racks\":[\"g8\"] | \"racks\":[]",
+                "\"racks\":[\"g8\"] | \"racks\":[8]",
+                "\"racks\":[\"g8\"] | \"racks\":\"g8\"",
+                "\"samePlace\":true | \"samePlace\":1",
+                "\"shipByS\":900.0 | \"shipByS\":0",
+                "\"house\":\"vision\", | ",
+                "\"cellar\":null | \"cellar\":4",
+                "\"maturingS\":240.0 | \"maturingS\":0"
+            })
     void aBadFieldIsToldAndTheIdKept(String good, String bad) {
         UserWire.Submission s = submission(GOOD.replace(good, bad == null ? "" : bad));
         assertNull(s.job());
@@ -59,7 +101,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "x", "[]", "null", "{", "{}", "{\"uid\":\"wk-\"}", "{\"uid\":7}", "{\"uid\":\"wk-1/2\"}"})
+    @ValueSource(
+            strings = {"", "x", "[]", "null", "{", "{}", "{\"uid\":\"wk-\"}", "{\"uid\":7}", "{\"uid\":\"wk-1/2\"}"})
     void aBodyWithoutAnIdIsMalformed(String body) {
         assertNull(submission(body).uid());
     }
@@ -71,14 +114,20 @@
 
     @Test
     void aReportIsRead() throws IOException {
-        Report report = WorkerWire.report("""
+        Report report = WorkerWire.report(
+                """
                 {"cask":"vm-000231","address":"10.1.0.232:9000","rack":"g8","cellar":"a","consignment":true,"pour":1,
                 "tally":88,"seal":41,"recallS":null,"bottles":[{"bottle":"wk-000412/3","try":2,"condition":"running"},
-                {"bottle":"wk-000398/0","try":1,"condition":"ended","fault":"done"}]}""".getBytes(StandardCharsets.UTF_8));
+                {"bottle":"wk-000398/0","try":1,"condition":"ended","fault":"done"}]}"""
+                        .getBytes(StandardCharsets.UTF_8));
         assertEquals(41, report.token());
-        assertEquals(List.of(new Report.TaskState("wk-000412", 3, 2, Report.Phase.RUNNING, null, false),
-                new Report.TaskState("wk-000398", 0, 1, Report.Phase.EXITED, Report.End.DONE, false)), report.tasks());
-        assertThrows(IOException.class, () -> WorkerWire.report("{\"cask\":\"vm-1\"}".getBytes(StandardCharsets.UTF_8)));
+        assertEquals(
+                List.of(
+                        new Report.TaskState("wk-000412", 3, 2, Report.Phase.RUNNING, null, false),
+                        new Report.TaskState("wk-000398", 0, 1, Report.Phase.EXITED, Report.End.DONE, false)),
+                report.tasks());
+        assertThrows(
+                IOException.class, () -> WorkerWire.report("{\"cask\":\"vm-1\"}".getBytes(StandardCharsets.UTF_8)));
     }
 
     @Test
@@ -89,16 +138,33 @@
         done.set(9, 12);
         Job job = submission(GOOD).job().withAccepted(1234);
         for (Map.Entry<String, Value> e : Map.of(
-                Keys.job("wk-1"), new Value.JobRecord(job, List.of(new Value.Deal("n0", 0, 10), new Value.Deal("n1", 10, 6)), 99),
-                Keys.fin("wk-1"), new Value.FinalRecord(true, 7),
-                Keys.slice("wk-1", 2), new Value.Slice("n0", 40, 20, 3, done,
-                        List.of(new Attempt(45, 3, "vm-1", 2, 77L << 20, 5_000_000_000L),
-                                new Attempt(46, 3, "vm-2", 1, (76L << 20) + 5, 5_000_000_000L))),
-                Keys.MAP, new Value.ClusterMap(5, List.of(new Value.Member("a", 4), new Value.Member("b", 5)), Map.of("vm-1", "b"),
-                        List.of(new Value.Loan("blue", "a", 1.5, 0), new Value.Loan("blue", "b", -1.5, 0))),
-                Keys.presence("a"), (Value) new Value.Presence(4),
-                Keys.machine("vm-1"), new Value.MachineRecord(Value.MachineFate.GONE, "deleted", List.of()),
-                Keys.machines("a", 3, 1), new Value.MachineRecord(Value.MachineFate.DELETE, "silent", List.of("vm-1", "vm-2"))).entrySet()) {
+                        Keys.job("wk-1"),
+                        new Value.JobRecord(job, List.of(new Value.Deal("n0", 0, 10), new Value.Deal("n1", 10, 6)), 99),
+                        Keys.fin("wk-1"),
+                        new Value.FinalRecord(true, 7),
+                        Keys.slice("wk-1", 2),
+                        new Value.Slice(
+                                "n0",
+                                40,
+                                20,
+                                3,
+                                done,
+                                List.of(
+                                        new Attempt(45, 3, "vm-1", 2, 77L << 20, 5_000_000_000L),
+                                        new Attempt(46, 3, "vm-2", 1, (76L << 20) + 5, 5_000_000_000L))),
+                        Keys.MAP,
+                        new Value.ClusterMap(
+                                5,
+                                List.of(new Value.Member("a", 4), new Value.Member("b", 5)),
+                                Map.of("vm-1", "b"),
+                                List.of(new Value.Loan("blue", "a", 1.5, 0), new Value.Loan("blue", "b", -1.5, 0))),
+                        Keys.presence("a"),
+                        (Value) new Value.Presence(4),
+                        Keys.machine("vm-1"),
+                        new Value.MachineRecord(Value.MachineFate.GONE, "deleted", List.of()),
+                        Keys.machines("a", 3, 1),
+                        new Value.MachineRecord(Value.MachineFate.DELETE, "silent", List.of("vm-1", "vm-2")))
+                .entrySet()) {
             byte[] json = StateWire.value(e.getValue());
             assertEquals(e.getValue(), StateWire.decode(e.getKey(), Json.object(json)));
         }
@@ -115,7 +181,12 @@
 
     @Test
     void peersUnderstandEachOther() throws IOException {
-        PeerStatus status = new PeerStatus("n0", 9, true, List.of("wk-000007"), List.of(new PeerStatus.PeerMachine("vm-1", "h:1", "box", "east", true, 3, 9)));
+        PeerStatus status = new PeerStatus(
+                "n0",
+                9,
+                true,
+                List.of("wk-000007"),
+                List.of(new PeerStatus.PeerMachine("vm-1", "h:1", "box", "east", true, 3, 9)));
         assertEquals(status, PeerWire.status(PeerWire.status(status)));
     }
 }
