--- a/src/main/java/dewlane/cli/Main.java
+++ b/src/main/java/dewlane/cli/Main.java
@@ -21,6 +21,7 @@
 
     private Main() {}
 
+    /** Reads the command line, starts the controller and returns; its I/O thread keeps the process running. */
     public static void main(String[] args) {
         CommandLine line;
         try {
--- a/src/main/java/dewlane/core/Context.java
+++ b/src/main/java/dewlane/core/Context.java
@@ -32,22 +32,27 @@
         return wall;
     }
 
+    /** The settings of this controller. */
     public Settings settings() {
         return settings;
     }
 
+    /** The source of all random choices. */
     public SplittableRandom random() {
         return random;
     }
 
+    /** Adds something for the outside to do. */
     public void emit(Effect effect) {
         effects.add(effect);
     }
 
+    /** Logs for operators. */
     public void info(String text) {
         effects.add(new Effect.Log(Effect.Level.INFO, text));
     }
 
+    /** Logs for those who look for a fault. */
     public void debug(String text) {
         effects.add(new Effect.Log(Effect.Level.DEBUG, text));
     }
--- a/src/main/java/dewlane/core/Input.java
+++ b/src/main/java/dewlane/core/Input.java
@@ -8,6 +8,7 @@
     /** Time has passed. */
     record Tick() implements Input {}
 
+    /** A key of the state service with its value and the revision of its latest change. */
     record Row(String key, Value value, long version) {}
 
     /** A change; the value is null if the key was deleted. */
@@ -16,13 +17,16 @@
     /** All keys but the final states; changes after {@code revision} may or may not be in them. */
     record StateListed(List<Row> rows, long revision, long latest) implements Input {}
 
+    /** The state could not be read. */
     record ListFailed() implements Input {}
 
+    /** What a watch returned: every change up to the revision. */
     record Changes(List<Change> changes, long revision) implements Input {}
 
     /** The watch ended without an answer, or the revision was too old for it. */
     record WatchFailed(boolean tooOld) implements Input {}
 
+    /** How a transaction ended, as far as the answer tells. */
     record TxnAnswer(long id, Txn.Status status, long revision) implements Input {}
 
     /** A lease was granted (0: not). */
@@ -34,6 +38,7 @@
     /** A key was read; {@code known} is false if the state service gave no answer. */
     record ValueRead(long id, boolean known, Value value, long version) implements Input {}
 
+    /** A worker reported and waits for the answer. */
     record ReportReceived(long id, Report report) implements Input {}
 
     /** A direct command was answered, or not ({@code report} null). */
@@ -47,12 +52,16 @@
      */
     record Submit(long id, String uid, Job job, String reason) implements Input {}
 
+    /** A user asks for a job's state. */
     record Poll(long id, String job) implements Input {}
 
+    /** A user cancels a job. */
     record Abort(long id, String job) implements Input {}
 
+    /** The machine types that the cloud rents out. */
     record CatalogRead(List<MachineType> types) implements Input {}
 
+    /** A page of the cloud's list, or all of it. */
     record MachinesListed(List<ListedMachine> machines) implements Input {}
 
     /** A rental was answered. */
@@ -66,7 +75,9 @@
         UNKNOWN
     }
 
+    /** A deletion was answered; {@code gone} if the machines are proven gone. */
     record Deleted(List<String> machines, boolean gone) implements Input {}
 
+    /** A peer told what it knows. */
     record PeerHeard(PeerStatus status) implements Input {}
 }
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -40,6 +40,7 @@
 
     /** What decides where a task of the job may go and whether it fits. */
     public record Shape(double cpus, double gpus, double memoryGb, List<String> types, String zone, boolean spot) {
+        /** True if the job may run on machines of the type. */
         public boolean allowsType(String type) {
             return types.isEmpty() || types.contains(type);
         }
@@ -63,18 +64,22 @@
         }
     }
 
+    /** What the job asks of a machine. */
     public Shape shape() {
         return new Shape(cpus, gpus, memoryGb, types, zone, spot);
     }
 
+    /** True if the job may run on machines of the type. */
     public boolean allowsType(String type) {
         return types.isEmpty() || types.contains(type);
     }
 
+    /** True if the job may run on such a machine. */
     public boolean allows(String type, String inZone, boolean onSpot) {
         return allowsType(type) && (zone == null || zone.equals(inZone)) && (spot || !onSpot);
     }
 
+    /** The same job with the time of its acceptance. */
     public Job withAccepted(long ms) {
         return new Job(
                 id,
--- a/src/main/java/dewlane/core/Keys.java
+++ b/src/main/java/dewlane/core/Keys.java
@@ -16,18 +16,22 @@
 
     private Keys() {}
 
+    /** The key of a job that is not over. */
     public static String job(String id) {
         return JOBS + id;
     }
 
+    /** The key of a job that is over. */
     public static String fin(String id) {
         return FINALS + id;
     }
 
+    /** The key of a slice of a job. */
     public static String slice(String job, int number) {
         return SLICES + job + "/" + number;
     }
 
+    /** The key of a machine's record. */
     public static String machine(String name) {
         return MACHINES + name;
     }
@@ -37,10 +41,12 @@
         return MACHINES + "+" + node + "-" + incarnation + "-" + number;
     }
 
+    /** The key that lives as long as a controller's lease. */
     public static String presence(String node) {
         return PRESENCE + node;
     }
 
+    /** The key of a team's use. */
     public static String team(String team) {
         return TEAMS + team;
     }
--- a/src/main/java/dewlane/core/MachineType.java
+++ b/src/main/java/dewlane/core/MachineType.java
@@ -25,6 +25,7 @@
         return cpus >= shape.cpus() - 1e-9 && gpus >= shape.gpus() - 1e-9 && memoryGb >= shape.memoryGb() - 1e-9;
     }
 
+    /** The price of an hour of a spot or an ordinary machine. */
     public double price(boolean spot) {
         return spot ? spotPrice : price;
     }
--- a/src/main/java/dewlane/core/Release.java
+++ b/src/main/java/dewlane/core/Release.java
@@ -100,6 +100,7 @@
         return ready;
     }
 
+    /** True if the job has nothing left to wait for. */
     public boolean isReady(String id) {
         return ready.contains(id);
     }
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -59,22 +59,27 @@
             return shape;
         }
 
+        /** True if the job was cancelled. */
         public boolean aborted() {
             return record != null && record.aborted();
         }
 
+        /** When the job was cancelled; 0: it was not. */
         public long abortedMs() {
             return record == null ? 0 : record.abortedMs();
         }
 
+        /** The revision of the latest change. */
         public long version() {
             return version;
         }
 
+        /** The slices that the job is cut into. */
         public Collection<SliceEntry> slices() {
             return slices.values();
         }
 
+        /** How many tasks are done. */
         public int done() {
             int n = 0;
             for (SliceEntry s : slices.values()) {
@@ -83,6 +88,7 @@
             return n;
         }
 
+        /** How many attempts may be on a machine. */
         public int live() {
             int n = 0;
             for (SliceEntry s : slices.values()) {
@@ -133,10 +139,12 @@
             this.key = Keys.slice(job, number);
         }
 
+        /** The slice's contents. */
         public Slice value() {
             return value;
         }
 
+        /** The revision of the latest change. */
         public long version() {
             return version;
         }
@@ -144,6 +152,7 @@
 
     /** A record of one or several machines, its key, and the version of that. */
     public record MachineEntry(String key, MachineRecord record, long version) {
+        /** The machines that the record is about. */
         public List<String> names() {
             return record.names().isEmpty() ? List.of(key.substring(Keys.MACHINES.length())) : record.names();
         }
@@ -321,22 +330,27 @@
         }
     }
 
+    /** The revision up to which everything is known. */
     public long revision() {
         return revision;
     }
 
+    /** The present map; null before the first. */
     public ClusterMap map() {
         return map;
     }
 
+    /** The revision of the map's latest change. */
     public long mapVersion() {
         return mapVersion;
     }
 
+    /** The jobs that are not over. */
     public Collection<JobEntry> jobs() {
         return jobs.values();
     }
 
+    /** The job, or null if it is unknown or over. */
     public JobEntry job(String id) {
         return jobs.get(id);
     }
@@ -360,10 +374,12 @@
         return machines;
     }
 
+    /** The controllers whose leases live, by name. */
     public Map<String, Presence> presences() {
         return presences;
     }
 
+    /** The revision of the latest change of a team's use. */
     public long teamVersion(String team) {
         return teams.getLong(team);
     }
--- a/src/main/java/dewlane/core/Report.java
+++ b/src/main/java/dewlane/core/Report.java
@@ -40,6 +40,7 @@
         UNKNOWN
     }
 
+    /** True if this report is newer than the one of the given session and sequence number. */
     public boolean newerThan(long otherSession, long otherSequence) {
         return session != otherSession ? session > otherSession : sequence > otherSequence;
     }
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -23,6 +23,7 @@
 
     /** A team's guarantee and limit; a limit of 0 is none. */
     public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {
+        /** True if the team has a limit of CPUs or GPUs. */
         public boolean limited() {
             return cpusMax > 0 || gpusMax > 0;
         }
@@ -66,6 +67,7 @@
      *     all controllers must agree on it, so operators' files do not set it
      */
     public record Tuning(long memberTtlMs, double silentS, double idleS, double bootPatience, double sharedCpus) {
+        /** What holds where operators set nothing. */
         public static Tuning defaults() {
             return new Tuning(3000, 12, 60, 4, 256);
         }
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -28,6 +28,7 @@
 
     /** Told the definite answer. */
     public interface Listener {
+        /** Called once, with the definite answer and its revision. */
         void answered(Txn.Status status, long revision);
     }
 
--- a/src/main/java/dewlane/core/Txn.java
+++ b/src/main/java/dewlane/core/Txn.java
@@ -26,6 +26,7 @@
         private final List<Guard> when = new ArrayList<>();
         private final List<Write> apply = new ArrayList<>();
 
+        /** Makes the transaction conditional on the version of a key; 0: the key does not exist. */
         public Builder when(String key, long version) {
             Guard guard = new Guard(key, version);
             if (!when.contains(guard)) {
@@ -34,29 +35,35 @@
             return this;
         }
 
+        /** Writes a key. */
         public Builder set(String key, Value value) {
             apply.add(new Write(key, value, 0));
             return this;
         }
 
+        /** Writes a key that goes when the lease ends. */
         public Builder setLeased(String key, Value value, long lease) {
             apply.add(new Write(key, value, lease));
             return this;
         }
 
+        /** Deletes a key. */
         public Builder delete(String key) {
             apply.add(new Write(key, null, 0));
             return this;
         }
 
+        /** How many conditions there are so far. */
         public int guards() {
             return when.size();
         }
 
+        /** How many changes there are so far. */
         public int writes() {
             return apply.size();
         }
 
+        /** The transaction as it stands. */
         public Txn build() {
             return new Txn(List.copyOf(when), List.copyOf(apply));
         }
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -13,6 +13,7 @@
      * @param deals how its tasks were dealt at acceptance; deal N holds until slice N has a key of its own
      */
     record JobRecord(Job job, List<Deal> deals, long abortedMs) implements Value {
+        /** True if the job was cancelled. */
         public boolean aborted() {
             return abortedMs > 0;
         }
@@ -37,10 +38,12 @@
      */
     record Slice(String owner, int first, int count, int launches, BitSet done, List<Attempt> attempts)
             implements Value {
+        /** True if every task of the slice is done. */
         public boolean complete() {
             return done.cardinality() == count;
         }
 
+        /** True if the task, numbered within its job, is done. */
         public boolean isDone(int task) {
             return done.get(task - first);
         }
@@ -59,6 +62,7 @@
             return taken;
         }
 
+        /** The attempt that may be running the task, or null. */
         public Attempt attemptOf(int task) {
             for (Attempt a : attempts) {
                 if (a.task() == task) {
@@ -80,6 +84,7 @@
             this(epoch, members, moved, List.of());
         }
 
+        /** True if the controller is a member. */
         public boolean has(String name) {
             return incarnation(name) != 0;
         }
--- a/src/main/java/dewlane/wire/CloudWire.java
+++ b/src/main/java/dewlane/wire/CloudWire.java
@@ -20,6 +20,7 @@
     /** A page of the machine list. */
     public record Page(List<ListedMachine> machines, boolean more) {}
 
+    /** Reads the machine types, their zones and present prices. */
     public static List<MachineType> catalog(byte[] body) throws IOException {
         List<MachineType> types = new ArrayList<>();
         for (Object o : Json.list(Json.object(body), "racks")) {
@@ -44,10 +45,12 @@
         return Double.isNaN(d) ? 0 : d;
     }
 
+    /** The path of one page of the machine list, beginning after the given name; null begins at the first. */
     public static String page(String after) {
         return MACHINES + "?limit=" + PAGE + (after == null ? "" : "&since=" + after);
     }
 
+    /** Reads one page of the machine list. */
     public static Page page(byte[] body) throws IOException {
         Map<String, Object> in = Json.object(body);
         List<ListedMachine> machines = new ArrayList<>();
@@ -69,6 +72,7 @@
         return new Page(machines, Json.flag(in, "more"));
     }
 
+    /** The body of a rental request. */
     public static byte[] rent(String request, String type, String zone, boolean spot, int count) {
         return Json.write(out -> {
             out.writeStartObject();
@@ -81,10 +85,12 @@
         });
     }
 
+    /** The names of the machines that were rented. */
     public static List<String> rented(byte[] body) throws IOException {
         return Json.strings(Json.object(body), "casks");
     }
 
+    /** True if a refusal means that there is no machine of the kind, not that the cloud is out. */
     public static boolean noCapacity(byte[] body) {
         try {
             return "no capacity".equals(Json.string(Json.object(body), "error"));
@@ -93,6 +99,7 @@
         }
     }
 
+    /** The body that asks for the deletion of machines. */
     public static byte[] delete(List<String> names) {
         return Json.write(out -> {
             out.writeStartObject();
--- a/src/main/java/dewlane/wire/PeerWire.java
+++ b/src/main/java/dewlane/wire/PeerWire.java
@@ -15,6 +15,7 @@
 
     private PeerWire() {}
 
+    /** Encodes what a controller tells its peers. */
     public static byte[] status(PeerStatus s) throws IOException {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             out.packString(s.node()).packLong(s.epoch()).packBoolean(s.stateReachable());
@@ -36,6 +37,7 @@
         }
     }
 
+    /** Decodes what a peer tells. */
     public static PeerStatus status(byte[] body) throws IOException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
             String node = in.unpackString();
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -30,22 +30,27 @@
     /** An answer of the watch. */
     public record Events(List<Change> changes, long revision) {}
 
+    /** The path that reads one key. */
     public static String get(String key) {
         return "/store/" + key;
     }
 
+    /** The path that lists keys with the prefix, beginning after the given one. */
     public static String list(String prefix, String after, int limit) {
         return "/store?prefix=" + prefix + "&since=" + after + "&limit=" + limit;
     }
 
+    /** The path that waits for changes after the revision. */
     public static String watch(String prefix, long since, long waitMs) {
         return "/watch?prefix=" + prefix + "&since=" + since + "&blockMs=" + waitMs;
     }
 
+    /** The path that renews a lease. */
     public static String touch(long lease) {
         return GRANTS + "/" + lease + "/touch";
     }
 
+    /** The body that asks for a lease. */
     public static byte[] grant(long ttlMs) {
         return Json.write(out -> {
             out.writeStartObject();
@@ -54,10 +59,12 @@
         });
     }
 
+    /** The lease that was granted. */
     public static long granted(byte[] body) throws IOException {
         return Json.whole(Json.object(body), "tenancy");
     }
 
+    /** The revision that an answer names. */
     public static long revision(byte[] body) throws IOException {
         return Json.whole(Json.object(body), "ledger");
     }
@@ -71,6 +78,7 @@
         return new Row(key, decode(key, Json.object(in.get("value"))), Json.whole(in, "entry"));
     }
 
+    /** Reads one page of a listing. */
     public static Page page(byte[] body) throws IOException {
         Map<String, Object> in = Json.object(body);
         List<Row> rows = new ArrayList<>();
@@ -81,6 +89,7 @@
         return new Page(rows, Json.flag(in, "more"), Json.whole(in, "ledger"));
     }
 
+    /** Reads the changes that a watch returned. */
     public static Events events(byte[] body) throws IOException {
         Map<String, Object> in = Json.object(body);
         List<Change> changes = new ArrayList<>();
@@ -95,6 +104,7 @@
         return new Events(changes, Json.whole(in, "ledger"));
     }
 
+    /** The body of a conditional transaction. */
     public static byte[] txn(Txn txn) {
         return Json.write(out -> {
             out.writeStartObject();
--- a/src/main/java/dewlane/wire/UserWire.java
+++ b/src/main/java/dewlane/wire/UserWire.java
@@ -32,10 +32,12 @@
         }
     }
 
+    /** True if the text has the form of a job id. */
     public static boolean isUid(String id) {
         return UID.matcher(id).matches();
     }
 
+    /** Reads a submission; one that is malformed says why. */
     public static Submission submission(byte[] body) {
         Map<String, Object> in;
         try {
@@ -128,6 +130,7 @@
         return d;
     }
 
+    /** The body that tells a user the state of a job. */
     public static byte[] state(JobState state) {
         return Json.write(out -> {
             out.writeStartObject();
@@ -148,6 +151,7 @@
         };
     }
 
+    /** The body that tells a user why a request was refused. */
     public static byte[] error(String reason) {
         return Json.write(out -> {
             out.writeStartObject();
--- a/src/main/java/dewlane/wire/WorkerWire.java
+++ b/src/main/java/dewlane/wire/WorkerWire.java
@@ -84,6 +84,7 @@
         };
     }
 
+    /** The answer to a report: the token to obey and the commands under it. */
     public static byte[] answer(long token, List<Order> orders) {
         return Json.write(out -> {
             out.writeStartObject();
@@ -93,6 +94,7 @@
         });
     }
 
+    /** The body of a direct command, valid for one session of the worker. */
     public static byte[] command(long session, long token, List<Order> orders) {
         return Json.write(out -> {
             out.writeStartObject();
@@ -103,6 +105,7 @@
         });
     }
 
+    /** The body of a refusal that names the controller to report to; null names none. */
     public static byte[] redirect(String node) {
         return Json.write(out -> {
             out.writeStartObject();
--- a/src/test/java/dewlane/core/QuotaTest.java
+++ b/src/test/java/dewlane/core/QuotaTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
+/** Teams' limits and guarantees, counted task by task. */
 class QuotaTest {
     private final Settings settings = new Settings(
             "n0",
--- a/src/test/java/dewlane/core/ReleaseTest.java
+++ b/src/test/java/dewlane/core/ReleaseTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
+/** When jobs with sources may start. */
 class ReleaseTest {
     private final Release release = new Release();
 
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** The protocols, word by word, and what is malformed. */
 class WireTest {
     private static final String GOOD =
             """
