--- /dev/null
+++ b/src/main/java/dewlane/core/Autoscaler.java
@@ -0,0 +1,216 @@
+package dewlane.core;
+
+import dewlane.core.Rental.Place;
+import dewlane.core.Replica.JobEntry;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Rents machines for the demand in sight, while this controller leads. What idles goes back by its partition's owner
+ * (see {@link Returns}), and {@link CloudInventory} deletes it.
+ */
+final class Autoscaler {
+    private static final long LIST_MS = 2000;
+    private static final long CATALOG_MS = 60_000;
+    private static final long FIRST_CATALOG_MS = 1500;
+    /** A place that gave fewer machines than asked is left alone for so long, or so long after an unclear answer. */
+    private static final long SCARCE_MS = 20_000;
+
+    private static final long UNCLEAR_MS = 3000;
+    /** A rental that was not answered for so long will not be. */
+    private static final long ANSWER_MS = 30_000;
+    /** A new leader waits for a list for so long at most. */
+    private static final long FIRST_LIST_MS = 10_000;
+    /** No rental is asked for while so many are unanswered. */
+    private static final int MOST_ASKED = 3;
+    /** As many as the cloud rents by one request. */
+    private static final int MOST_RENTED = 50;
+    /** The part of a machine that a demand may lack of a whole one and still be worth no machine. */
+    private static final double ROUNDED_OFF = 0.2;
+    /** Work of the lowest priority has ordinary machines rented for it only after such a wait. */
+    private static final long IDLE_PRIORITY_WAIT_MS = 60_000;
+    /** How much dearer a type counts that other jobs need more. */
+    private static final double RIVAL = 0.4;
+    /** The time over which a machine's boot and its first image fetch count as lost. */
+    private static final double LIFE_S = 300;
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final CloudInventory inventory;
+    private final CapacityDemand demand;
+    /** Rentals that the cloud has not answered yet, by request. */
+    private final Map<String, Rental> asked = new HashMap<>();
+
+    private final Map<Place, Long> scarceUntil = new HashMap<>();
+    private long catalogAt = Long.MIN_VALUE;
+    private long listAskedAt = Long.MIN_VALUE;
+    private long ledSince;
+    private boolean planned;
+
+    Autoscaler(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            CloudInventory inventory,
+            CapacityDemand demand) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.inventory = inventory;
+        this.demand = demand;
+    }
+
+    /** Keeps the catalog and the list current, and rents. */
+    void tick() {
+        long now = context.now();
+        readCatalog();
+        if (!membership.leads()) {
+            ledSince = 0;
+            planned = false;
+            inventory.clear();
+            asked.clear();
+            return;
+        }
+        if (ledSince == 0) {
+            ledSince = now;
+            context.info("leading the fleet");
+        }
+        if (listAskedAt == Long.MIN_VALUE || now - listAskedAt >= LIST_MS) {
+            listAskedAt = now;
+            context.emit(new Effect.ListMachines());
+        }
+        if (membership.silence() > 2000 || machines.types().isEmpty()) {
+            return;
+        }
+        asked.values().removeIf(r -> now - r.at() > ANSWER_MS);
+        inventory.tick();
+        if (knowsFleet()) {
+            planned = true;
+            rent();
+        }
+    }
+
+    private void readCatalog() {
+        long every = machines.types().isEmpty() ? FIRST_CATALOG_MS : CATALOG_MS;
+        if (catalogAt == Long.MIN_VALUE || context.now() - catalogAt > every) {
+            catalogAt = context.now();
+            context.emit(new Effect.ReadCatalog());
+        }
+    }
+
+    /** A new leader first waits for a list, which shows what its predecessor rented; the first one has none. */
+    private boolean knowsFleet() {
+        long led = context.now() - ledSince;
+        return led > 1000 * context.settings().listLagS() && inventory.hasList()
+                || led > FIRST_LIST_MS
+                || replica.map().epoch() <= replica.map().members().size();
+    }
+
+    void listed(Input.MachinesListed in) {
+        inventory.listed(in.machines());
+    }
+
+    void deleted(Input.Deleted in) {
+        inventory.deleted(in);
+        if (membership.leads()) {
+            inventory.carryOut();
+        }
+    }
+
+    void rented(Input.Rented in) {
+        Rental rental = asked.remove(in.request());
+        if (rental == null) {
+            return;
+        }
+        Place place = rental.place();
+        switch (in.status()) {
+            case RENTED -> {
+                inventory.rented(in.machines(), rental);
+                context.info("rented " + in.machines() + " " + place);
+                if (in.machines().size() < rental.count()) {
+                    scarceUntil.put(place, context.now() + SCARCE_MS);
+                }
+            }
+            case NO_CAPACITY -> {
+                scarceUntil.put(place, context.now() + SCARCE_MS);
+                context.debug("no capacity for " + place);
+            }
+            // The request may be carried out late: the machines then show up in reports and lists.
+            case INVALID, UNKNOWN -> scarceUntil.put(place, context.now() + UNCLEAR_MS);
+        }
+        if (planned && membership.leads()) {
+            rent();
+        }
+    }
+
+    private void rent() {
+        if (asked.size() >= MOST_ASKED) {
+            return;
+        }
+        Map<Place, Double> wanted = new LinkedHashMap<>();
+        demand.unmet(inventory.booting(), asked.values()).forEach((job, slots) -> {
+            Place place = cheapest(job);
+            if (place != null) {
+                wanted.merge(place, slots / machines.type(place.type()).fits(job.job()), Double::sum);
+            }
+        });
+        wanted.forEach((place, amount) -> {
+            int count = (int) Math.min(MOST_RENTED, Math.ceil(amount - ROUNDED_OFF));
+            if (count > 0 && asked.size() < MOST_ASKED) {
+                ask(place, count);
+            }
+        });
+    }
+
+    private void ask(Place place, int count) {
+        String request = "dewlane-" + Long.toHexString(context.random().nextLong())
+                + Long.toHexString(context.random().nextLong());
+        asked.put(request, new Rental(place, count, context.now()));
+        context.emit(new Effect.Rent(request, place.type(), place.zone(), place.spot(), count));
+    }
+
+    /** Where a task of the job costs least, by price, room and the time lost to boot and fetch; null: nowhere now. */
+    private Place cheapest(JobEntry entry) {
+        Job job = entry.job();
+        Place best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (MachineType type : machines.types()) {
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Place place = new Place(type.name(), zone, spot);
+                    double cost = mayRent(place, type, job) ? cost(type, spot, job) : Double.POSITIVE_INFINITY;
+                    if (cost < bestCost) {
+                        best = place;
+                        bestCost = cost;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private boolean mayRent(Place place, MachineType type, Job job) {
+        return type.fits(job) >= 1
+                && job.allows(place.type(), place.zone(), place.spot())
+                && (place.spot() || worthOrdinary(job))
+                && scarceUntil.getOrDefault(place, 0L) <= context.now();
+    }
+
+    private double cost(MachineType type, boolean spot, Job job) {
+        double each = type.price(spot) / type.fits(job);
+        double rivalry = 1 + RIVAL * machines.rivals(job.shape(), type);
+        double lostS = type.bootS() + job.imageGb() / type.fetchGbPerS();
+        return each * rivalry * (1 + lostS / LIFE_S);
+    }
+
+    private boolean worthOrdinary(Job job) {
+        return job.priority() != Priority.IDLE
+                || !job.spot()
+                || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/CapacityDemand.java
@@ -0,0 +1,197 @@
+package dewlane.core;
+
+import dewlane.core.Rental.Place;
+import dewlane.core.Replica.JobEntry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Estimates how much waiting work finds no room on the machines that are up or on their way. */
+final class CapacityDemand {
+    /** A machine rented for a task is there for about so long; shorter tasks share its room one after the other. */
+    private static final double SLOT_S = 80;
+    /** The least part of a slot that a task counts for, however short it is. */
+    private static final double LEAST_SLOT = 0.1;
+    /** A machine on its way is counted on for so many times its boot time. */
+    private static final double COUNTED_BOOTS = 2;
+
+    /** Room on machines of one place that are up or on their way. */
+    private static final class Bin {
+        final MachineType type;
+        final Use use;
+
+        Bin(MachineType type, Use use) {
+            this.type = type;
+            this.use = use;
+        }
+
+        /** Takes up to the given number of tasks and says how many. */
+        int take(Job job, int tasks) {
+            int taken = Math.min(tasks, use.room(type, job));
+            if (taken > 0) {
+                use.add(job, taken);
+            }
+            return taken;
+        }
+
+        boolean full() {
+            return use.cpus() >= type.cpus();
+        }
+    }
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Placement placement;
+    private final Quota quota;
+
+    CapacityDemand(Context context, Replica replica, Machines machines, Placement placement, Quota quota) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.placement = placement;
+        this.quota = quota;
+    }
+
+    /**
+     * Tasks that neither machines that are up nor those on their way have room for, in slots for a whole machine life.
+     *
+     * @param booting machines that are rented but not up, by name
+     * @param asked rentals that the cloud has not answered yet
+     */
+    Map<JobEntry, Double> unmet(Map<String, Rental> booting, Collection<Rental> asked) {
+        Map<Place, List<Bin>> bins = bins(booting, asked);
+        Map<JobEntry, Double> unmet = new LinkedHashMap<>();
+        Map<String, Use> teams = new HashMap<>();
+        Set<Job.Shape> full = new HashSet<>();
+        for (JobEntry job : waitingJobs()) {
+            Job spec = job.job();
+            Use team = teams.computeIfAbsent(spec.team(), t -> new Use(machines.use(t)));
+            int allowed = Math.min(job.waiting(), quota.room(spec, team));
+            team.add(spec, Math.max(0, allowed));
+            int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
+            if (left > 0) {
+                full.add(job.shape());
+                unmet.put(job, slots(job, left, booting));
+            }
+        }
+        return unmet;
+    }
+
+    /** Room by place, so that a job looks only at machines that it may use, and each full one is dropped at once. */
+    private Map<Place, List<Bin>> bins(Map<String, Rental> booting, Collection<Rental> asked) {
+        Map<Place, List<Bin>> bins = new LinkedHashMap<>();
+        for (Machine m : machines.all()) {
+            MachineType type = machines.type(m);
+            if (type != null && takesTasks(m) && m.use.cpus() < type.cpus()) {
+                add(bins, new Place(type.name(), m.zone, m.spot), new Bin(type, new Use(m.use)));
+            }
+        }
+        booting.forEach((name, rental) -> {
+            MachineType type = machines.type(rental.place().type());
+            if (type != null
+                    && !replica.machines().containsKey(name)
+                    && context.now() - rental.at() < COUNTED_BOOTS * 1000 * type.bootS()) {
+                add(bins, rental.place(), new Bin(type, new Use()));
+            }
+        });
+        for (Rental rental : asked) {
+            MachineType type = machines.type(rental.place().type());
+            for (int i = 0; type != null && i < rental.count(); i++) {
+                add(bins, rental.place(), new Bin(type, new Use()));
+            }
+        }
+        return bins;
+    }
+
+    private static void add(Map<Place, List<Bin>> bins, Place place, Bin bin) {
+        bins.computeIfAbsent(place, p -> new ArrayList<>()).add(bin);
+    }
+
+    /** Those with the fewest types to choose from come first, and the others take what they leave. */
+    private List<JobEntry> waitingJobs() {
+        List<JobEntry> jobs = new ArrayList<>();
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && !job.aborted() && !faulty(job) && job.waiting() > 0) {
+                jobs.add(job);
+            }
+        }
+        jobs.sort(Comparator.comparingInt(j -> machines.choices(j.shape())));
+        return jobs;
+    }
+
+    private boolean faulty(JobEntry job) {
+        Work work = machines.knownWork(job.id);
+        return work != null && work.faulty();
+    }
+
+    /** Puts tasks into the bins; returns how many find no room. */
+    private static int fill(Map<Place, List<Bin>> bins, JobEntry job, int tasks) {
+        int left = tasks;
+        for (Map.Entry<Place, List<Bin>> e : bins.entrySet()) {
+            Place place = e.getKey();
+            if (left > 0 && job.job().allows(place.type(), place.zone(), place.spot())) {
+                left = fill(e.getValue(), job.job(), left);
+            }
+        }
+        return left;
+    }
+
+    private static int fill(List<Bin> bins, Job job, int tasks) {
+        int left = tasks;
+        for (Iterator<Bin> i = bins.iterator(); i.hasNext() && left > 0; ) {
+            Bin bin = i.next();
+            left -= bin.take(job, left);
+            if (bin.full()) {
+                i.remove();
+            }
+        }
+        return left;
+    }
+
+    /**
+     * Short tasks share a slot one after the other while a machine is there. Where no machine would ever do, the
+     * smallest demand still needs one, or the job would wait for ever.
+     */
+    private double slots(JobEntry job, int tasks, Map<String, Rental> booting) {
+        Job spec = job.job();
+        double slots = tasks * Math.min(1, Math.max(LEAST_SLOT, spec.estimateS() / SLOT_S));
+        return hosted(spec, job.shape(), booting) ? slots : Math.max(slots, mostOnOne(spec));
+    }
+
+    /** True if there is or soon will be a machine on which tasks of the shape can run at all. */
+    private boolean hosted(Job spec, Job.Shape shape, Map<String, Rental> booting) {
+        for (Machine m : machines.all()) {
+            MachineType type = machines.type(m);
+            if (type != null && type.holds(shape) && spec.allows(m.type, m.zone, m.spot) && takesTasks(m)) {
+                return true;
+            }
+        }
+        for (Rental rental : booting.values()) {
+            Place place = rental.place();
+            MachineType type = machines.type(place.type());
+            if (type != null && type.holds(shape) && spec.allows(place.type(), place.zone(), place.spot())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean takesTasks(Machine m) {
+        if (m.owner == null || replica.machines().containsKey(m.name)) {
+            return false;
+        }
+        return m.owner.equals(context.settings().node()) ? placement.takesTasks(m) : machines.listedByOwner(m);
+    }
+
+    private int mostOnOne(Job job) {
+        return machines.types().stream().mapToInt(t -> t.fits(job)).max().orElse(1);
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/CloudInventory.java
@@ -0,0 +1,230 @@
+package dewlane.core;
+
+import dewlane.core.Rental.Place;
+import dewlane.core.Value.MachineFate;
+import dewlane.core.Value.MachineRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the leader knows of the cloud's machines: those on its lagging list, those on their way, and those proven gone.
+ * It deletes machines whose records ask for it, and records the proof.
+ */
+final class CloudInventory {
+    private static final long DELETE_RETRY_MS = 6000;
+    /** As many as the cloud deletes by one request. */
+    private static final int MOST_DELETED = 100;
+
+    private static final long KEEP_GONE_MS = 60_000;
+    /** So long the cloud's list may still show a machine that was returned. */
+    private static final long KEEP_RETURNED_MS = 30_000;
+    /** A machine that no page of the list showed for so long is not listed any more. */
+    private static final long LISTED_MS = 20_000;
+    /** How long a machine of an unknown type may take to come up. */
+    private static final double UNKNOWN_BOOT_S = 300;
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final TransactionQueue transactions;
+    private final Map<String, Long> listedAt = new HashMap<>();
+    /** Machines that have not been seen up yet. */
+    private final Map<String, Rental> booting = new LinkedHashMap<>();
+
+    private final Map<String, Long> deletingAt = new HashMap<>();
+    private final Map<String, Long> goneAt = new HashMap<>();
+    /** Machines that a delete was answered for, or that the cloud calls failed. */
+    private final Set<String> gone = new HashSet<>();
+
+    private final Set<String> writing = new HashSet<>();
+    private final Set<String> up = new HashSet<>();
+
+    CloudInventory(Context context, Replica replica, Machines machines, TransactionQueue transactions) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.transactions = transactions;
+    }
+
+    /** Forgets what only a leader keeps current. */
+    void clear() {
+        listedAt.clear();
+        booting.clear();
+    }
+
+    /** True once a list has come since this controller leads. */
+    boolean hasList() {
+        return !listedAt.isEmpty();
+    }
+
+    /** Machines that are rented but have not been seen up, by name. */
+    Map<String, Rental> booting() {
+        return booting;
+    }
+
+    /** Takes a page of the cloud's list, which may be older than the one before. */
+    void listed(List<ListedMachine> page) {
+        for (ListedMachine listed : page) {
+            if (!machines.isGone(listed.name())) {
+                take(listed);
+            }
+        }
+        listedAt.values().removeIf(at -> context.now() - at > LISTED_MS);
+    }
+
+    private void take(ListedMachine listed) {
+        String name = listed.name();
+        listedAt.put(name, context.now());
+        if (listed.state() == ListedMachine.State.FAILED) {
+            gone.add(name);
+            record(name, MachineFate.GONE, "failed");
+        } else if (listed.state() == ListedMachine.State.RUNNING) {
+            machines.learn(name, listed.address(), listed.type(), listed.zone(), listed.spot());
+        } else if (!booting.containsKey(name) && !up.contains(name) && !gone.contains(name)) {
+            Place place = new Place(listed.type(), listed.zone(), listed.spot());
+            booting.put(name, new Rental(place, 1, context.now() - (long) (listed.ageS() * 1000)));
+        }
+    }
+
+    /** Takes machines that the cloud said it rented. */
+    void rented(List<String> names, Rental rental) {
+        names.forEach(name -> booting.put(name, rental));
+    }
+
+    /** Brings machines up, carries out their records, and condemns those that never came up. */
+    void tick() {
+        noteUp();
+        carryOut();
+        condemnLate();
+    }
+
+    private void noteUp() {
+        for (Machine m : machines.all()) {
+            if (m.heardAt != 0 || !m.live.isEmpty() || machines.listedByOwner(m)) {
+                up.add(m.name);
+            }
+        }
+        up.removeIf(machines::isGone);
+        booting.keySet().removeIf(name -> up.contains(name) || machines.isGone(name));
+    }
+
+    /** Acts on the machines' records. */
+    void carryOut() {
+        List<String> delete = new ArrayList<>();
+        for (Replica.MachineEntry entry : replica.machineRecords()) {
+            switch (entry.record().fate()) {
+                case RETURN -> carryOutReturn(entry, delete);
+                case DELETE -> carryOutDelete(entry, delete);
+                case GONE -> carryOutGone(entry, delete);
+            }
+        }
+        delete.removeIf(name -> context.now() - deletingAt.getOrDefault(name, -1_000_000L) < DELETE_RETRY_MS);
+        if (!delete.isEmpty()) {
+            List<String> some = List.copyOf(delete.subList(0, Math.min(MOST_DELETED, delete.size())));
+            some.forEach(name -> deletingAt.put(name, context.now()));
+            context.debug("deleting " + some);
+            context.emit(new Effect.Delete(some));
+        }
+    }
+
+    private void carryOutReturn(Replica.MachineEntry entry, List<String> delete) {
+        if (gone.containsAll(entry.names())) {
+            if (context.now() - goneAt.computeIfAbsent(entry.key(), k -> context.now()) > KEEP_RETURNED_MS) {
+                drop(entry);
+            }
+            return;
+        }
+        for (String name : entry.names()) {
+            // Nothing can have been launched there since; if ever something is there, it ends first.
+            if (!gone.contains(name) && idle(name)) {
+                delete.add(name);
+            }
+        }
+    }
+
+    private void carryOutDelete(Replica.MachineEntry entry, List<String> delete) {
+        if (gone.containsAll(entry.names())) {
+            replace(entry, MachineFate.GONE, "deleted");
+        } else {
+            delete.addAll(entry.names());
+        }
+    }
+
+    private void carryOutGone(Replica.MachineEntry entry, List<String> delete) {
+        long since = goneAt.computeIfAbsent(entry.key(), k -> context.now());
+        if (context.now() - since < KEEP_GONE_MS / 2) {
+            entry.names().stream().filter(listedAt::containsKey).forEach(delete::add);
+        } else if (context.now() - since > KEEP_GONE_MS
+                && entry.names().stream().allMatch(this::idle)) {
+            drop(entry);
+        }
+    }
+
+    private boolean idle(String name) {
+        Machine m = machines.get(name);
+        return m == null || m.live.isEmpty();
+    }
+
+    /** Notes what a deletion's answer proves. */
+    void deleted(Input.Deleted in) {
+        if (!in.gone()) {
+            return;
+        }
+        for (String name : in.machines()) {
+            listedAt.remove(name);
+            booting.remove(name);
+            gone.add(name);
+        }
+    }
+
+    /** Machines that did not come up in good time are charged for nothing. */
+    private void condemnLate() {
+        booting.forEach((name, rental) -> {
+            MachineType type = machines.type(rental.place().type());
+            double bootPatience = context.settings().tuning().bootPatience();
+            double patienceS = type == null ? UNKNOWN_BOOT_S : type.bootS() * bootPatience;
+            boolean late = context.now() - rental.at() > patienceS * 1000;
+            if (late && !replica.machines().containsKey(name)) {
+                context.info("machine " + name + " did not come up, to be deleted");
+                record(name, MachineFate.DELETE, "never came up");
+            }
+        });
+    }
+
+    private void record(String name, MachineFate fate, String reason) {
+        Replica.MachineEntry known = replica.machines().get(name);
+        if (known == null) {
+            write(Keys.machine(name), 0, new MachineRecord(fate, reason, List.of()));
+        } else if (known.record().fate() != fate && known.record().names().isEmpty()) {
+            replace(known, fate, reason);
+        }
+    }
+
+    private void replace(Replica.MachineEntry entry, MachineFate fate, String reason) {
+        MachineRecord record = new MachineRecord(fate, reason, entry.record().names());
+        write(entry.key(), entry.version(), record);
+    }
+
+    private void write(String key, long version, MachineRecord record) {
+        if (writing.add(key)) {
+            Txn txn = new Txn.Builder().when(key, version).set(key, record).build();
+            transactions.submit(TransactionQueue.Urgency.OUTCOME, txn, (status, revision) -> writing.remove(key));
+        }
+    }
+
+    private void drop(Replica.MachineEntry entry) {
+        String key = entry.key();
+        if (writing.add(key)) {
+            Txn txn = new Txn.Builder().when(key, entry.version()).delete(key).build();
+            transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
+                writing.remove(key);
+                goneAt.remove(key);
+            });
+        }
+    }
+}
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -32,7 +32,7 @@
     private final Attempts attempts;
     private final Placement placement;
     private final Health health;
-    private final Fleet fleet;
+    private final Autoscaler autoscaler;
     private final Users users;
     private final Lending lending;
     private final Returns returns;
@@ -62,7 +62,9 @@
         attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
         health = new Health(context, replica, machines, membership, transactions, cancellations);
         returns = new Returns(context, replica, machines, membership, transactions, placement);
-        fleet = new Fleet(context, replica, machines, membership, transactions, placement, quota);
+        CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
+        CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota);
+        autoscaler = new Autoscaler(context, replica, machines, membership, inventory, demand);
         users = new Users(context, replica, machines, membership, transactions, dealer, cancellations);
     }
 
@@ -150,11 +152,11 @@
             machines.catalog(in.types());
             dirty = true;
         } else if (input instanceof Input.MachinesListed in) {
-            fleet.listed(in.machines());
+            autoscaler.listed(in);
         } else if (input instanceof Input.Rented in) {
-            fleet.rented(in);
+            autoscaler.rented(in);
         } else if (input instanceof Input.Deleted in) {
-            fleet.deleted(in);
+            autoscaler.deleted(in);
         } else if (input instanceof Input.PeerHeard in) {
             heardPeer(in.status());
         }
@@ -180,7 +182,7 @@
             }
             health.tick();
             attempts.tick();
-            fleet.tick();
+            autoscaler.tick();
             lending.tick();
             returns.tick();
             // What peers are told costs each of them something, so the more there are, the seldomer.
--- /dev/null
+++ b/src/main/java/dewlane/core/Rental.java
@@ -0,0 +1,12 @@
+package dewlane.core;
+
+/**
+ * Machines of one place that were asked for together.
+ *
+ * @param at when, in steady time
+ */
+record Rental(Place place, int count, long at) {
+
+    /** Where machines can be rented, and on what terms. */
+    record Place(String type, String zone, boolean spot) {}
+}
