Questions share one request; submissions are admitted by rate; the bucket's debt is bounded

One-task jobs came by the hundred, each poll was a read (236,015 of 264,600 requests refused), so leases could not be renewed; refused submissions were tried again without end and each emptied the bucket of changes; and each try was owed by it, so that nothing was launched for ten minutes after an outage. Now one read names the revision that all questions before it wait for; submissions take at most 0.4 of the rate and are told to come back beyond that; what a user gave up on is not tried again; the debt is at most one burst.

--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -104,6 +104,7 @@
                 new Input.ReportReceived(2, new Report("m", "h:1", TYPE, "zone", true, 1, 1, 0, Double.NaN, List.of())),
                 new Input.Tick(),
                 new Input.Poll(3, job.id()),
+                new Input.RevisionRead(true, 3),
                 new Input.ValueRead(1, true, null, 0),
                 new Input.Tick());
         long now = 0;
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -34,6 +34,7 @@
     private final Health health;
     private final Autoscaler autoscaler;
     private final Users users;
+    private final ReadBarrier barrier;
     private final Lending lending;
     private final Returns returns;
     private boolean listing;
@@ -65,7 +66,8 @@
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
         CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota);
         autoscaler = new Autoscaler(context, replica, machines, membership, inventory, demand);
-        users = new Users(context, replica, machines, membership, transactions, dealer, cancellations);
+        barrier = new ReadBarrier(context, replica);
+        users = new Users(context, replica, machines, membership, transactions, dealer, cancellations, barrier);
     }
 
     /** Handles one message that arrived at the given steady time and time of day. */
@@ -132,6 +134,11 @@
                 membership.contact();
             }
             users.valueRead(in);
+        } else if (input instanceof Input.RevisionRead in) {
+            if (in.known()) {
+                membership.contact();
+            }
+            barrier.answered(in);
         } else if (input instanceof Input.LeaseGranted in) {
             if (in.lease() != 0) {
                 membership.contact();
@@ -170,6 +177,7 @@
         }
         membership.tick(loaded && replica.revision() >= loadedFrom);
         transactions.pump();
+        barrier.tick();
         dirty |= context.now() - passedAt >= QUIET_PASS_MS;
         if (cancellations.takeNews() && membership.joined()) {
             // Owners need not wait for their watch, which may be refused just now.
@@ -204,6 +212,7 @@
         loadedFrom = in.latest();
         replica.load(in.rows(), in.revision());
         cancellations.viewed(listedAt);
+        barrier.advanced();
         context.info("read " + replica.jobs().size() + " jobs from the state service at revision " + in.revision());
         watch(in.revision());
     }
@@ -235,6 +244,7 @@
         }
         counters.changesSeen += in.changes().size();
         replica.advance(in.revision());
+        barrier.advanced();
         cancellations.viewed(watchedAt);
         if (!in.changes().isEmpty()) {
             dirty = true;
--- a/src/main/java/dewlane/core/Effect.java
+++ b/src/main/java/dewlane/core/Effect.java
@@ -23,6 +23,9 @@
     /** Read one key. */
     record ReadValue(long id, String key) implements Effect {}
 
+    /** Ask for the revision of the state service's latest change. */
+    record ReadRevision() implements Effect {}
+
     /** Answer a worker's report, which renews its lease. */
     record AnswerReport(long id, long token, List<Order> orders) implements Effect {}
 
@@ -35,8 +38,13 @@
     /** Send commands straight to a worker. */
     record Command(String machine, String address, long session, long token, List<Order> orders) implements Effect {}
 
-    /** Answers a user; {@code state} is null unless the status is 200 or 201. */
-    record AnswerUser(long id, int status, JobState state, String reason) implements Effect {}
+    /**
+     * Answers a user.
+     *
+     * @param state null unless the status is 200 or 201
+     * @param retryAfterS when to come back, if the status is 503
+     */
+    record AnswerUser(long id, int status, JobState state, String reason, int retryAfterS) implements Effect {}
 
     /** Read the machine types. */
     record ReadCatalog() implements Effect {}
--- a/src/main/java/dewlane/core/Input.java
+++ b/src/main/java/dewlane/core/Input.java
@@ -38,6 +38,9 @@
     /** A key was read; {@code known} is false if the state service gave no answer. */
     record ValueRead(long id, boolean known, Value value, long version) implements Input {}
 
+    /** The revision was read; {@code known} is false if the state service gave no answer. */
+    record RevisionRead(boolean known, long revision) implements Input {}
+
     /** A worker reported and waits for the answer. */
     record ReportReceived(long id, Report report) implements Input {}
 
--- a/src/main/java/dewlane/core/Keys.java
+++ b/src/main/java/dewlane/core/Keys.java
@@ -12,6 +12,9 @@
     public static final String MAP = ROOT + "map";
     public static final String PRESENCE = ROOT + "node/";
     public static final String SLICES = ROOT + "slice/";
+    /** Never set: reading it tells the latest revision. */
+    public static final String NONE = ROOT + "none";
+
     public static final String TEAMS = ROOT + "team/";
 
     private Keys() {}
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -64,6 +64,11 @@
             return record != null && record.aborted();
         }
 
+        /** The job's record, or null if it has none any more. */
+        JobRecord record() {
+            return record;
+        }
+
         /** When the job was cancelled; 0: it was not. */
         public long abortedMs() {
             return record == null ? 0 : record.abortedMs();
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -26,9 +26,12 @@
         LATER
     }
 
-    /** Told the definite answer. */
+    /** Told the answer. */
     public interface Listener {
-        /** Called once, with the definite answer and its revision. */
+        /**
+         * Called once, with the definite answer and its revision. What a user has waited too long for is told as
+         * refused or unknown instead; it may then yet be applied.
+         */
         void answered(Txn.Status status, long revision);
     }
 
@@ -37,10 +40,12 @@
         final Urgency urgency;
         final Txn txn;
         final Listener listener;
+        final long submittedAt;
         long notBefore;
         int tries;
 
-        Entry(long id, Urgency urgency, Txn txn, Listener listener) {
+        Entry(long id, Urgency urgency, Txn txn, Listener listener, long submittedAt) {
+            this.submittedAt = submittedAt;
             this.id = id;
             this.urgency = urgency;
             this.txn = txn;
@@ -56,6 +61,21 @@
 
     private static final double MOST_BOOST = 2.5;
     private static final double BOOST_PER_S = 0.2;
+    /** The part of the write rate that submissions may take: the rest is for what was accepted. */
+    private static final double USER_SHARE = 0.4;
+    /** Submissions that may wait before further ones are told to come back. */
+    private static final int MOST_USERS_WAITING = 16;
+    /** What users wait for is given up on when they have. */
+    private static final long USER_PATIENCE_MS = 4000;
+    /** Refusals within so long are one: each would empty the bucket again, and nothing but users' writes be sent. */
+    private static final long REFUSAL_MS = 500;
+    /** Pauses before a write is tried again, doubled with each try. */
+    private static final long PAUSE_MS = 100;
+
+    private static final long USER_PAUSE_MS = 15;
+    private static final long USER_REFUSED_PAUSE_MS = 50;
+    private static final long LONGEST_PAUSE_MS = 1000;
+    private static final int MOST_DOUBLINGS = 5;
 
     private final Context context;
     private final Counters counters;
@@ -70,10 +90,13 @@
     private long refilledAt = Long.MIN_VALUE;
     private int share = 1;
     private double boost = 1;
+    private long refusedAt = Long.MIN_VALUE / 2;
+    private double userTokens;
 
     TransactionQueue(Context context, Counters counters) {
         this.context = context;
         this.counters = counters;
+        this.userTokens = userBurst();
     }
 
     /** Live controllers share the write rate. */
@@ -82,7 +105,7 @@
     }
 
     void submit(Urgency urgency, Txn txn, Listener listener) {
-        enqueue(new Entry(nextId++, urgency, txn, listener));
+        enqueue(new Entry(nextId++, urgency, txn, listener, context.now()));
         pump();
     }
 
@@ -99,6 +122,23 @@
         return before < MOST_WAITING && tokens >= Math.max(1, capacity() * reserve(urgency));
     }
 
+    /**
+     * True if a submission can be written soon, and then counts it. What is beyond that is better told to come back:
+     * submissions that were all tried again and again took every change there was, and nothing accepted could run.
+     */
+    boolean admitsUser() {
+        refill();
+        if (waiting[Urgency.USER.ordinal()] >= MOST_USERS_WAITING || userTokens < 1) {
+            return false;
+        }
+        userTokens--;
+        return true;
+    }
+
+    private double userBurst() {
+        return context.settings().stateWriteRps();
+    }
+
     private void enqueue(Entry entry) {
         queue.add(entry);
         waiting[entry.urgency.ordinal()]++;
@@ -131,22 +171,45 @@
             }
             default -> {
                 if (answer.status() == Txn.Status.REFUSED) {
-                    counters.refused++;
-                    boost = Math.max(1, boost / 2);
-                    tokens = Math.min(tokens, 0);
+                    refused();
+                }
+                if (fromUser(entry) && context.now() - entry.submittedAt > USER_PATIENCE_MS) {
+                    entry.listener.answered(answer.status(), 0);
+                } else {
+                    tryAgain(entry, answer.status());
                 }
-                entry.tries++;
-                // What users wait for is tried again at once; the rest stays off until there is something to have.
-                long pause = entry.urgency.compareTo(Urgency.USER) > 0 ? 100 : 15;
-                entry.notBefore = context.now()
-                        + Math.min(1000, pause << Math.min(entry.tries, 5))
-                        + context.random().nextInt((int) pause);
-                enqueue(entry);
             }
         }
         pump();
     }
 
+    private void refused() {
+        counters.refused++;
+        boost = Math.max(1, boost / 2);
+        if (context.now() - refusedAt >= REFUSAL_MS) {
+            refusedAt = context.now();
+            tokens = Math.min(tokens, 0);
+        }
+    }
+
+    private static boolean fromUser(Entry entry) {
+        return entry.urgency == Urgency.USER || entry.urgency == Urgency.SAFETY;
+    }
+
+    /** What users wait for is tried again soon; the rest stays off until there is something to have. */
+    private void tryAgain(Entry entry, Txn.Status status) {
+        entry.tries++;
+        long pause = PAUSE_MS;
+        if (entry.urgency.compareTo(Urgency.USER) <= 0) {
+            boolean busy = status == Txn.Status.REFUSED && fromUser(entry);
+            pause = busy ? USER_REFUSED_PAUSE_MS : USER_PAUSE_MS;
+        }
+        entry.notBefore = context.now()
+                + Math.min(LONGEST_PAUSE_MS, pause << Math.min(entry.tries, MOST_DOUBLINGS))
+                + context.random().nextInt((int) pause);
+        enqueue(entry);
+    }
+
     void pump() {
         refill();
         List<Entry> later = new ArrayList<>();
@@ -163,7 +226,9 @@
                 later.add(entry);
                 break;
             }
-            tokens -= cost;
+            // What users wait for goes out at once and is owed. The debt has a bound: in a long outage it grew to what
+            // took ten minutes to pay, and for so long nothing was launched.
+            tokens = Math.max(Math.min(tokens, -capacity()), tokens - cost);
             counters.wrote(entry.urgency, entry.txn.apply().size());
             inFlight.put(entry.id, entry);
             context.emit(new Effect.SendTxn(entry.id, entry.txn));
@@ -186,6 +251,7 @@
         } else {
             double passedS = (context.now() - refilledAt) / 1000.0;
             tokens = Math.min(capacity(), tokens + rate() * passedS);
+            userTokens = Math.min(userBurst(), userTokens + rate() * USER_SHARE * passedS);
             boost = Math.min(MOST_BOOST, boost + BOOST_PER_S * passedS);
         }
         refilledAt = context.now();
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -9,10 +9,19 @@
 import java.util.function.Consumer;
 
 /**
- * Answers submissions, polls and cancellations. What is not known to be final is read from the state service before it
- * is told, so that no controller shows a state older than one that another has shown.
+ * Answers submissions, polls and cancellations. What is not known to be final is told only behind a
+ * {@link ReadBarrier}, so that no controller shows a state older than one that another has shown.
  */
 final class Users {
+    /** The part of the state service's requests that all controllers' reads of final states together may take. */
+    private static final double FINAL_READ_SHARE = 0.2;
+
+    private static final double LEAST_FINAL_READS = 5;
+    /** When those come back who find the service busy, and those whose submission is more than can be written. */
+    private static final int RETRY_S = 1;
+
+    private static final int OVERLOAD_RETRY_S = 4;
+
     private final Context context;
     private final Replica replica;
     private final Machines machines;
@@ -20,6 +29,8 @@
     private final TransactionQueue transactions;
     private final Dealer dealer;
     private final Cancellations cancellations;
+    private final ReadBarrier barrier;
+    private final RateLimit finalReads;
     private final Long2ObjectOpenHashMap<Consumer<Input.ValueRead>> reads = new Long2ObjectOpenHashMap<>();
     private long nextRead = 1;
 
@@ -30,7 +41,8 @@
             Membership membership,
             TransactionQueue transactions,
             Dealer dealer,
-            Cancellations cancellations) {
+            Cancellations cancellations,
+            ReadBarrier barrier) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -38,6 +50,11 @@
         this.transactions = transactions;
         this.dealer = dealer;
         this.cancellations = cancellations;
+        this.barrier = barrier;
+        Settings settings = context.settings();
+        double controllers = settings.peers().size() + 1;
+        double perS = settings.stateRps() * FINAL_READ_SHARE / controllers;
+        this.finalReads = new RateLimit(perS, Math.max(LEAST_FINAL_READS, perS));
     }
 
     void submit(Input.Submit in) {
@@ -52,8 +69,7 @@
         }
         if (in.job() == null) {
             // No accepted job was malformed, but only the state service knows of all that are over. Where it does not
-            // answer,
-            // a body that could never be accepted is told so all the same.
+            // answer, a body that could never be accepted is told so all the same.
             lookUp(in.id(), in.uid(), () -> reject(in), () -> answer(in.id(), 400, null, in.reason()));
             return;
         }
@@ -80,6 +96,10 @@
             answer(in.id(), 503, null, "not ready, try again");
             return;
         }
+        if (!transactions.admitsUser()) {
+            answerLater(in.id(), "too many submissions, try again", OVERLOAD_RETRY_S);
+            return;
+        }
         Job job = in.job().withAccepted(context.wall());
         Txn.Builder txn = new Txn.Builder()
                 .when(Keys.job(job.id()), 0)
@@ -88,8 +108,10 @@
         transactions.submit(TransactionQueue.Urgency.USER, txn.build(), (status, revision) -> {
             if (status == Txn.Status.COMMITTED) {
                 answer(in.id(), 201, new JobState(job.id(), Condition.PENDING, 0, 0), null);
-            } else {
+            } else if (status == Txn.Status.CONFLICT) {
                 lookUp(in.id(), job.id(), () -> answer(in.id(), 503, null, "try again"));
+            } else {
+                unavailable(in.id());
             }
         });
     }
@@ -123,17 +145,32 @@
             answerFinal(in.id(), in.job(), fin);
             return;
         }
-        read(Keys.job(in.job()), read -> {
-            if (!read.known()) {
-                unavailable(in.id());
-            } else if (read.value() == null) {
-                lookUpFinal(in.id(), in.job(), () -> answer(in.id(), 404, null, "no such job"));
-            } else if (((JobRecord) read.value()).aborted()) {
-                answer(in.id(), 200, new JobState(in.job(), Condition.ABORTED, 0, 0), null);
-            } else {
-                cancel(in, (JobRecord) read.value(), read.version());
-            }
-        });
+        if (known(in.job()) != null) {
+            // The write is conditional on what the replica shows, so it may be behind.
+            abortKnown(in);
+        } else {
+            barrier.await(() -> abortKnown(in), () -> unavailable(in.id()));
+        }
+    }
+
+    /** The job as the replica has it, or null if it is over or was never accepted. */
+    private JobEntry known(String id) {
+        JobEntry entry = replica.job(id);
+        return entry == null || entry.record() == null ? null : entry;
+    }
+
+    private void abortKnown(Input.Abort in) {
+        FinalRecord fin = replica.fin(in.job());
+        JobEntry entry = known(in.job());
+        if (fin != null) {
+            answerFinal(in.id(), in.job(), fin);
+        } else if (entry == null) {
+            lookUpFinal(in.id(), in.job(), () -> answer(in.id(), 404, null, "no such job"));
+        } else if (entry.aborted()) {
+            answer(in.id(), 200, new JobState(in.job(), Condition.ABORTED, 0, 0), null);
+        } else {
+            cancel(in, entry.record(), entry.version());
+        }
     }
 
     private void cancel(Input.Abort in, JobRecord record, long version) {
@@ -150,9 +187,11 @@
                 cancellations.confirmed(job.id());
                 replica.rememberFinal(job.id(), fin);
                 answer(in.id(), 200, new JobState(job.id(), Condition.ABORTED, 0, 0), null);
+            } else if (status == Txn.Status.CONFLICT) {
+                // Done, or cancelled by another request or an earlier copy of this one: see which.
+                barrier.await(() -> abortKnown(in), () -> unavailable(in.id()));
             } else {
-                // Done, or cancelled by another request or an earlier copy of this one: read which.
-                abort(in);
+                unavailable(in.id());
             }
         });
     }
@@ -171,30 +210,34 @@
             answerFinal(id, job, fin);
             return;
         }
-        read(Keys.job(job), read -> {
-            if (!read.known()) {
-                silent.run();
-            } else if (read.value() == null) {
-                // The job key is gone only once the final key is there.
-                lookUpFinal(id, job, unknown);
-            } else if (((JobRecord) read.value()).aborted()) {
-                answer(id, 200, new JobState(job, Condition.ABORTED, 0, 0), null);
-            } else if (replica.fin(job) != null) {
-                // The read was answered late, and in the meantime somebody may have been told the final state.
-                answerFinal(id, job, replica.fin(job));
-            } else {
-                answer(id, 200, active(job), null);
-            }
-        });
+        barrier.await(() -> answerKnown(id, job, unknown), silent);
     }
 
-    private JobState active(String id) {
-        JobEntry job = replica.job(id);
-        int live = job == null ? 0 : job.live();
-        return new JobState(id, live > 0 ? Condition.RUNNING : Condition.PENDING, job == null ? 0 : job.done(), live);
+    private void answerKnown(long id, String job, Runnable unknown) {
+        FinalRecord fin = replica.fin(job);
+        JobEntry entry = known(job);
+        if (fin != null) {
+            answerFinal(id, job, fin);
+        } else if (entry == null) {
+            // A job's record is gone only once its final state is there.
+            lookUpFinal(id, job, unknown);
+        } else if (entry.aborted()) {
+            answer(id, 200, new JobState(job, Condition.ABORTED, 0, 0), null);
+        } else {
+            answer(id, 200, active(entry), null);
+        }
+    }
+
+    private static JobState active(JobEntry job) {
+        int live = job.live();
+        return new JobState(job.id, live > 0 ? Condition.RUNNING : Condition.PENDING, job.done(), live);
     }
 
     private void lookUpFinal(long id, String job, Runnable unknown) {
+        if (!finalReads.take(context.now())) {
+            answerLater(id, "too many questions, try again", RETRY_S);
+            return;
+        }
         read(Keys.fin(job), read -> {
             if (!read.known()) {
                 unavailable(id);
@@ -212,11 +255,15 @@
     }
 
     private void unavailable(long id) {
-        answer(id, 503, null, "state service out of reach, try again");
+        answerLater(id, "state service out of reach, try again", RETRY_S);
     }
 
     private void answer(long id, int status, JobState state, String reason) {
-        context.emit(new Effect.AnswerUser(id, status, state, reason));
+        context.emit(new Effect.AnswerUser(id, status, state, reason, RETRY_S));
+    }
+
+    private void answerLater(long id, String reason, int retryAfterS) {
+        context.emit(new Effect.AnswerUser(id, 503, null, reason, retryAfterS));
     }
 
     private void read(String key, Consumer<Input.ValueRead> then) {
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -191,13 +191,15 @@
         } else if (effect instanceof Effect.RefuseReport e) {
             reply(e.id(), 503, UserWire.error("not entitled now"));
         } else if (effect instanceof Effect.AnswerUser e) {
-            reply(e.id(), e.status(), e.state() != null ? UserWire.state(e.state()) : UserWire.error(e.reason()));
+            answerUser(e);
         } else if (effect instanceof Effect.SendTxn e) {
             state.txn(e.id(), e.txn());
         } else if (effect instanceof Effect.Watch e) {
             state.watch(e.since());
         } else if (effect instanceof Effect.ReadValue e) {
             state.read(e.id(), e.key());
+        } else if (effect instanceof Effect.ReadRevision) {
+            state.readRevision();
         } else if (effect instanceof Effect.ListState) {
             state.list();
         } else if (effect instanceof Effect.GrantLease e) {
@@ -225,6 +227,18 @@
         }
     }
 
+    private void answerUser(Effect.AnswerUser answer) {
+        HttpServerExchange exchange = pending.remove(answer.id());
+        if (exchange == null) {
+            return;
+        }
+        if (answer.status() == 503) {
+            exchange.getResponseHeaders().put(RETRY_AFTER, answer.retryAfterS());
+        }
+        byte[] body = answer.state() != null ? UserWire.state(answer.state()) : UserWire.error(answer.reason());
+        send(exchange, answer.status(), body);
+    }
+
     private void command(Effect.Command command) {
         boolean launches = command.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
         byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
@@ -395,7 +409,7 @@
         }
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        if (status == 503) {
+        if (status == 503 && !exchange.getResponseHeaders().contains(RETRY_AFTER)) {
             exchange.getResponseHeaders().put(RETRY_AFTER, "1");
         }
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -139,6 +139,21 @@
         });
     }
 
+    /** Reads a key that never exists: the answer names the latest revision. */
+    void readRevision() {
+        calls.send(Methods.GET, StateWire.get(Keys.NONE), null, CALL_MS, (status, body) -> {
+            Input.RevisionRead read = new Input.RevisionRead(false, 0);
+            try {
+                if (status == 404) {
+                    read = new Input.RevisionRead(true, StateWire.revision(body));
+                }
+            } catch (IOException e) {
+                LOG.error("unreadable revision of the state service: {}", e.getMessage());
+            }
+            core.accept(read);
+        });
+    }
+
     void grant(long ttlMs) {
         leases.send(Methods.POST, StateWire.GRANTS, StateWire.grant(ttlMs), CALL_MS, (status, body) -> {
             long lease = 0;
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -264,8 +264,8 @@
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
         effects.clear();
         hear(10, new Input.Submit(5, "wk-1", null, "bottles must be an integer"));
-        Effect.ReadValue read = take(Effect.ReadValue.class).get(0);
-        hear(10, new Input.ValueRead(read.id(), true, new JobRecord(job(1, 1), List.of(), 0), revision));
+        assertEquals(1, take(Effect.ReadRevision.class).size());
+        hear(10, new Input.RevisionRead(true, revision));
         assertEquals(200, take(Effect.AnswerUser.class).get(0).status());
     }
 
@@ -274,10 +274,13 @@
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
         effects.clear();
         hear(10, new Input.Submit(5, "wk-1", null, "bottles must be an integer"));
-        hear(10, new Input.ValueRead(take(Effect.ReadValue.class).get(0).id(), false, null, 0));
+        assertEquals(1, take(Effect.ReadRevision.class).size());
+        hear(10, new Input.RevisionRead(false, 0));
         assertEquals(503, take(Effect.AnswerUser.class).get(0).status());
         hear(10, new Input.Submit(6, "wk-2", null, "bottles must be an integer"));
-        hear(10, new Input.ValueRead(take(Effect.ReadValue.class).get(0).id(), false, null, 0));
+        hear(200, new Input.Tick());
+        assertEquals(1, take(Effect.ReadRevision.class).size());
+        hear(10, new Input.RevisionRead(false, 0));
         assertEquals(400, take(Effect.AnswerUser.class).get(0).status());
     }
 
@@ -286,15 +289,46 @@
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
         effects.clear();
         hear(10, new Input.Poll(5, "wk-1"));
-        long read = take(Effect.ReadValue.class).get(0).id();
+        assertEquals(1, take(Effect.ReadRevision.class).size());
+        long asked = revision;
         change(Keys.fin("wk-1"), new Value.FinalRecord(true, now));
         effects.clear();
-        hear(10, new Input.ValueRead(read, true, new JobRecord(job(1, 1), List.of(), 0), revision - 1));
+        hear(10, new Input.RevisionRead(true, asked));
         assertEquals(
                 Effect.Condition.ABORTED,
                 take(Effect.AnswerUser.class).get(0).state().condition());
     }
 
+    /** Found in a hunt: a read for each of hundreds of polls used up the request rate, and leases were lost with it. */
+    @Test
+    void pollsShareOneRequestAndWaitForTheRevisionItNames() {
+        change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
+        hear(10, new Input.Poll(5, "wk-1"));
+        effects.clear();
+        for (int i = 6; i < 106; i++) {
+            hear(1, new Input.Poll(i, "wk-1"));
+        }
+        hear(1, new Input.RevisionRead(true, revision));
+        hear(200, new Input.Tick());
+        long requests =
+                effects.stream().filter(Effect.ReadRevision.class::isInstance).count();
+        assertEquals(1, requests, "one request for a hundred questions");
+        assertEquals(List.of(5L), answered(), "only what came before the request was sent is answered by it");
+        effects.clear();
+        hear(1, new Input.RevisionRead(true, revision + 1));
+        assertEquals(List.of(), answered(), "the replica may lack what others were told");
+        change(Keys.fin("wk-1"), new Value.FinalRecord(true, now));
+        List<Effect.AnswerUser> answers = take(Effect.AnswerUser.class);
+        assertEquals(100, answers.size());
+        for (Effect.AnswerUser answer : answers) {
+            assertEquals(Effect.Condition.ABORTED, answer.state().condition());
+        }
+    }
+
+    private List<Long> answered() {
+        return take(Effect.AnswerUser.class).stream().map(Effect.AnswerUser::id).toList();
+    }
+
     @Test
     void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
         for (double cancelS : new double[] {31, 44}) {
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -59,6 +59,81 @@
         assertNotNull(world.state.get(Keys.fin("wk-000001")));
     }
 
+    /**
+     * Found in a hunt: one-task jobs came faster than they could be written. Submissions that were refused were tried
+     * again without end, each poll was a read, and with all requests and changes used up for that the controllers lost
+     * their leases, and nothing that was accepted ran.
+     */
+    @Test
+    void moreSmallJobsThanCanBeWrittenDoNotStopWhatWasAccepted() {
+        World world = quietWorld(9);
+        int jobs = 3000;
+        for (int i = 0; i < jobs; i++) {
+            Job job = smallJob(String.format("wk-%06d", 500_000 + i));
+            world.after(20L * i, () -> world.users.submit(job));
+        }
+        for (int i = 0; i < 12_000; i++) {
+            world.after(5L * i, world.users::pollSome);
+        }
+        Value map = world.state.get(Keys.MAP);
+        world.run(70_000);
+        int done = world.state.all(Keys.FINALS).size();
+        assertTrue(done >= 300, done + " of " + jobs + " jobs were done while they came");
+        assertEquals(map, world.state.get(Keys.MAP), "no controller lost its lease");
+        assertTrue(
+                world.state.requestsRefused < world.state.requests / 10,
+                world.state.requestsRefused + " of " + world.state.requests + " requests refused");
+        world.run(400_000);
+        for (String id : world.users.accepted) {
+            assertNotNull(world.state.get(Keys.fin(id)), id);
+        }
+    }
+
+    /**
+     * Found in a hunt: what users asked for during a long outage was tried again and again, and each try was owed by
+     * the bucket of changes, so that nothing was launched for ten minutes after it.
+     */
+    @Test
+    void whatIsAskedDuringAnOutageDoesNotHoldUpLaunchesAfterIt() {
+        World world = quietWorld(9);
+        for (int i = 0; i < 400; i++) {
+            Job job = smallJob(String.format("wk-%06d", 500_000 + i));
+            world.after(150L * i, () -> world.users.submit(job));
+        }
+        world.run(12_000);
+        int before = world.checker.starts;
+        assertTrue(before > 0);
+        world.state.outage(70_000);
+        world.run(82_000);
+        assertTrue(world.checker.starts < before + 30, "the outage came about");
+        world.run(102_000);
+        assertTrue(world.checker.starts > before + 60, world.checker.starts + " started, " + before + " before it");
+    }
+
+    private static Job smallJob(String id) {
+        return new Job(
+                id,
+                "lot",
+                "blue",
+                Priority.HIGH,
+                1,
+                1,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                1,
+                0,
+                0,
+                0,
+                0);
+    }
+
     /** Seen in a recorded incident: workers cut from their controller were sent back to it until their leases ended. */
     @Test
     void machinesCutFromTheirControllerMoveAndLoseNoTask() {
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -240,6 +240,8 @@
             world.state.watch(this, e.since());
         } else if (effect instanceof Effect.ReadValue e) {
             world.state.read(this, e.id(), e.key());
+        } else if (effect instanceof Effect.ReadRevision) {
+            world.state.readRevision(this);
         } else if (effect instanceof Effect.ListState) {
             world.state.list(this);
         } else if (effect instanceof Effect.GrantLease e) {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -47,6 +47,12 @@
     int longestTxn;
     private double tokens;
     private long refilledAt;
+    private double requestTokens;
+    private long requestsRefilledAt;
+    /** Requests so far but watches that wait, and those refused for their rate. */
+    int requests;
+
+    int requestsRefused;
     private long revision;
     private long nextLease = 1;
 
@@ -81,7 +87,7 @@
     void list(SimNode node) {
         node.callState(
                 () -> {
-                    if (!serves(node)) {
+                    if (!serves(node) || !withinRequests()) {
                         return new Input.ListFailed();
                     }
                     List<Input.Row> rows = new ArrayList<>();
@@ -150,7 +156,9 @@
             return;
         }
         node.callState(
-                () -> serves(node) ? apply(id, txn) : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
+                () -> serves(node) && withinRequests()
+                        ? apply(id, txn)
+                        : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
                 new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0),
                 1500);
     }
@@ -167,6 +175,20 @@
         return true;
     }
 
+    /** True if a request is within the rate, with a burst of one second's worth. */
+    private boolean withinRequests() {
+        double most = world.settings.stateRps();
+        requestTokens = Math.min(most, requestTokens + most * (world.now() - requestsRefilledAt) / 1000.0);
+        requestsRefilledAt = world.now();
+        requests++;
+        if (requestTokens < 1) {
+            requestsRefused++;
+            return false;
+        }
+        requestTokens--;
+        return true;
+    }
+
     private Input apply(long id, Txn txn) {
         if (!withinRate(txn.apply().size())) {
             return new Input.TxnAnswer(id, Txn.Status.REFUSED, 0);
@@ -233,7 +255,7 @@
         node.callState(
                 () -> {
                     Held held = keys.get(key);
-                    return serves(node)
+                    return serves(node) && withinRequests()
                             ? new Input.ValueRead(
                                     id, true, held == null ? null : held.value, held == null ? 0 : held.version)
                             : new Input.ValueRead(id, false, null, 0);
@@ -242,10 +264,19 @@
                 1500);
     }
 
+    void readRevision(SimNode node) {
+        node.callState(
+                () -> serves(node) && withinRequests()
+                        ? new Input.RevisionRead(true, revision)
+                        : new Input.RevisionRead(false, 0),
+                new Input.RevisionRead(false, 0),
+                1500);
+    }
+
     void grant(SimNode node, long ttl) {
         node.callState(
                 () -> {
-                    if (!serves(node)) {
+                    if (!serves(node) || !withinRequests()) {
                         return new Input.LeaseGranted(0);
                     }
                     long lease = nextLease++;
@@ -259,7 +290,7 @@
     void touch(SimNode node, long lease, long ttl) {
         node.callState(
                 () -> {
-                    if (!serves(node)) {
+                    if (!serves(node) || !withinRequests()) {
                         return new Input.LeaseTouched(lease, false, false);
                     }
                     boolean there = leases.containsKey(lease);
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -14,7 +14,7 @@
 final class SimUsers {
     private final World world;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final List<String> accepted = new ArrayList<>();
+    final List<String> accepted = new ArrayList<>();
     /** When a question about the job was last answered. */
     private final Map<String, Long> answeredAt = new HashMap<>();
 
