One question for reach of the state service, shares of a limit as amounts, short steps in Health

What stood twice stands once: the loops over loans for CPUs and GPUs, and the search for silent machines with cancelled tasks.

--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/Attempts.java
@@ -114,7 +114,7 @@
      */
     private boolean cannotReachOwner(Machine m, Report r) {
         machines.learn(r.machine(), r.address(), r.type(), r.zone(), r.spot());
-        if (membership.silence() > 2000 || m.address == null || !r.newerThan(m.session, m.sequence)) {
+        if (!membership.reachesState() || m.address == null || !r.newerThan(m.session, m.sequence)) {
             return false;
         }
         // Workers of one that died wander until the map says who has them, and those of one that has just come have yet
--- a/src/main/java/dewlane/core/Autoscaler.java
+++ b/src/main/java/dewlane/core/Autoscaler.java
@@ -84,7 +84,7 @@
             listAskedAt = now;
             context.emit(new Effect.ListMachines());
         }
-        if (membership.silence() > 2000 || machines.types().isEmpty()) {
+        if (!membership.reachesState() || machines.types().isEmpty()) {
             return;
         }
         asked.values().removeIf(r -> now - r.at() > ANSWER_MS);
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -306,7 +306,7 @@
         return new PeerStatus(
                 context.settings().node(),
                 replica.map().epoch(),
-                membership.silence() < 2000,
+                membership.reachesState(),
                 cancellations.toTell(),
                 page);
     }
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/Health.java
@@ -1,6 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Machine.Live;
 import dewlane.core.Value.MachineFate;
 import dewlane.core.Value.MachineRecord;
 import java.util.ArrayList;
@@ -25,6 +24,9 @@
     /** The same where no record can be written: whoever knows of the cancellation may not be there for long. */
     private static final double DELETE_WITHOUT_STATE = 0.2;
 
+    /** How many times as long silence must last while most machines are silent. */
+    private static final int UNTRUSTED_PATIENCE = 3;
+
     private static final long DELETE_AGAIN_MS = 5000;
     /** A pause between two ticks, which come every second, that only a process that stood still has. */
     private static final long STOOD_STILL_MS = 3000;
@@ -57,64 +59,96 @@
         this.cancellations = cancellations;
     }
 
+    /** Looks at all machines of this part, once a second. */
     void tick() {
-        if (tickedAt != 0 && context.now() - tickedAt > STOOD_STILL_MS) {
-            // What it slept through is nobody's silence: reports of that time may still be on their way in.
-            context.info("stood still for " + (context.now() - tickedAt) + " ms");
-            machines.all().forEach(m -> m.since = context.now());
-        }
-        tickedAt = context.now();
+        noteStandstill();
         if (!membership.joined()) {
             return;
         }
         endCancelled();
-        if (membership.silence() > 2000) {
+        if (!membership.reachesState()) {
             return;
         }
         if (membership.incarnation() != incarnation) {
             // Silence from before it joined again says nothing: others may have heard the machines all the while.
             incarnation = membership.incarnation();
-            machines.all().forEach(m -> m.since = context.now());
+            countSilenceFromNow();
+        }
+        if (mostAreSilent()) {
+            mostSilentAt = context.now();
+        }
+        Map<String, String> condemned = condemned();
+        condemned.forEach((name, reason) -> context.info("machine " + name + " is " + reason + ", to be deleted with "
+                + machines.get(name).live.size() + " tasks on it"));
+        List<String> names = List.copyOf(condemned.keySet());
+        for (int i = 0; i < names.size(); i += MOST_AT_ONCE) {
+            condemn(names.subList(i, Math.min(i + MOST_AT_ONCE, names.size())), condemned.get(names.get(i)));
+        }
+    }
+
+    /** What the process slept through is nobody's silence: reports of that time may still be on their way in. */
+    private void noteStandstill() {
+        if (tickedAt != 0 && context.now() - tickedAt > STOOD_STILL_MS) {
+            context.info("stood still for " + (context.now() - tickedAt) + " ms");
+            countSilenceFromNow();
         }
+        tickedAt = context.now();
+    }
+
+    private void countSilenceFromNow() {
+        machines.all().forEach(m -> m.since = context.now());
+    }
+
+    /** Those suspected or just fallen silent count too: they do not all begin at the same moment. */
+    private boolean mostAreSilent() {
+        long patience = Math.min(patienceMs(), context.settings().heardMs());
         int heard = 0;
         int silent = 0;
-        long patience = (long) (context.settings().tuning().silentS() * 1000);
         for (Machine m : machines.own()) {
-            if (known(m)) {
-                // Those suspected or just fallen silent count too: they do not all begin at the same moment.
-                if (m.suspectedSince != 0
-                        || silentFor(m) > Math.min(patience, context.settings().heardMs())) {
-                    silent++;
-                } else {
-                    heard++;
-                }
+            if (!known(m)) {
+                continue;
+            }
+            if (m.suspectedSince != 0 || silentFor(m) > patience) {
+                silent++;
+            } else {
+                heard++;
             }
         }
-        if (silent > heard) {
-            mostSilentAt = context.now();
-        }
-        // Where most are silent, or just were, it is more likely that this controller cannot hear or is not heard.
-        boolean trusts = context.now() - mostSilentAt > context.settings().heardMs();
+        return silent > heard;
+    }
+
+    private long patienceMs() {
+        return (long) (context.settings().tuning().silentS() * 1000);
+    }
+
+    /** Machines to be deleted, with the reason. */
+    private Map<String, String> condemned() {
         Map<String, String> condemned = new LinkedHashMap<>();
         for (Machine m : machines.own()) {
-            if (replica.machines().containsKey(m.name) || asking.contains(m.name)) {
-                continue;
-            }
-            if (!m.failedJobs.isEmpty() && machines.faulty(m)) {
-                condemned.put(m.name, "faulty");
-            } else if (known(m) && silentFor(m) > patience && (trusts || silentFor(m) > 3 * patience)) {
-                condemned.put(m.name, m.sequence > 0 && m.suspectedSince != 0 ? "out of reach" : "silent");
-            } else if (silentFor(m) > patience && m.live.values().stream().anyMatch(this::cancelledLong)) {
-                // A hanging machine keeps a cancelled task; only its deletion ends that in time.
-                condemned.put(m.name, "silent with a cancelled task");
+            boolean underWay = replica.machines().containsKey(m.name) || asking.contains(m.name);
+            String reason = underWay ? null : reasonToDelete(m);
+            if (reason != null) {
+                condemned.put(m.name, reason);
             }
         }
-        condemned.forEach((name, reason) -> context.info("machine " + name + " is " + reason + ", to be deleted with "
-                + machines.get(name).live.size() + " tasks on it"));
-        List<String> names = List.copyOf(condemned.keySet());
-        for (int i = 0; i < names.size(); i += MOST_AT_ONCE) {
-            condemn(names.subList(i, Math.min(i + MOST_AT_ONCE, names.size())), condemned.get(names.get(i)));
+        return condemned;
+    }
+
+    private String reasonToDelete(Machine m) {
+        long patience = patienceMs();
+        if (!m.failedJobs.isEmpty() && machines.faulty(m)) {
+            return "faulty";
         }
+        if (silentFor(m) <= patience) {
+            return null;
+        }
+        // Where most are silent, or just were, it is more likely that this controller cannot hear or is not heard.
+        boolean trusts = context.now() - mostSilentAt > context.settings().heardMs();
+        if (known(m) && (trusts || silentFor(m) > UNTRUSTED_PATIENCE * patience)) {
+            return m.sequence > 0 && m.suspectedSince != 0 ? "out of reach" : "silent";
+        }
+        // A hanging machine keeps a cancelled task; only its deletion ends that in time.
+        return hasCancelled(m, CONDEMN) ? "silent with a cancelled task" : null;
     }
 
     /** Not one returned, nor one of which there is only a report: that may be a late copy from a machine long gone. */
@@ -122,13 +156,10 @@
         return m.heardAt != 0 && !m.returned || !m.live.isEmpty();
     }
 
-    private boolean cancelledLong(Live l) {
-        return cancelledFor(l, CONDEMN);
-    }
-
-    private boolean cancelledFor(Live l, double share) {
-        return !l.over
-                && cancellations.cancelledForMs(l.job) > context.settings().cancelS() * 1000 * share;
+    /** True if a task on the machine has been cancelled for longer than the part of {@code cancel_s}. */
+    private boolean hasCancelled(Machine m, double share) {
+        double longMs = context.settings().cancelS() * 1000 * share;
+        return m.live.values().stream().anyMatch(l -> !l.over && cancellations.cancelledForMs(l.job) > longMs);
     }
 
     /**
@@ -142,12 +173,10 @@
         }
         // There is less time left than for others: one that missed its reports is as good as silent.
         long patience = context.settings().heardMs();
-        double share = membership.silence() > 2000 ? DELETE_WITHOUT_STATE : DELETE;
+        double share = membership.reachesState() ? DELETE : DELETE_WITHOUT_STATE;
         List<String> late = new ArrayList<>();
         for (Machine m : machines.own()) {
-            if (silentFor(m) > patience
-                    && late.size() < MOST_AT_ONCE
-                    && m.live.values().stream().anyMatch(l -> cancelledFor(l, share))) {
+            if (silentFor(m) > patience && late.size() < MOST_AT_ONCE && hasCancelled(m, share)) {
                 late.add(m.name);
             }
         }
--- a/src/main/java/dewlane/core/Lending.java
+++ b/src/main/java/dewlane/core/Lending.java
@@ -34,7 +34,7 @@
     }
 
     void tick() {
-        if (!membership.joined() || membership.silence() > 2000 || context.now() - lentAt < PAUSE_MS) {
+        if (!membership.joined() || !membership.reachesState() || context.now() - lentAt < PAUSE_MS) {
             return;
         }
         for (JobEntry job : replica.jobs()) {
@@ -63,14 +63,14 @@
                 return false;
             }
         }
-        double cpus = quota.spareCpus(spec, self);
-        double gpus = quota.spareGpus(spec, self);
+        Quota.Amount own = quota.spare(spec, self);
         for (int i = 0; i < rooms.length; i++) {
             String other = members.get(i).name();
             if (!other.equals(self) && rooms[i] > 0 && quota.room(spec, other) <= 0) {
                 int tasks = Math.min(Math.max(1, mine / 2), Math.min(rooms[i], job.waiting()));
-                double lentCpus = Math.min(cpus, tasks * spec.cpus() - quota.spareCpus(spec, other));
-                double lentGpus = Math.min(gpus, tasks * spec.gpus() - quota.spareGpus(spec, other));
+                Quota.Amount theirs = quota.spare(spec, other);
+                double lentCpus = Math.min(own.cpus(), tasks * spec.cpus() - theirs.cpus());
+                double lentGpus = Math.min(own.gpus(), tasks * spec.gpus() - theirs.gpus());
                 if (lentCpus > 0 || lentGpus > 0) {
                     context.info("lending " + other + " " + lentCpus + " CPUs and " + lentGpus
                             + " GPUs of the limit of " + spec.team() + " for " + job.id);
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -24,6 +24,8 @@
     private static final int MOST_MOVED = 200;
 
     private static final long ISOLATED_MS = 2000;
+    /** Without an answer for so long the state service counts as out of reach: leases are renewed more often. */
+    private static final long REACHED_MS = 2000;
     /** Take-overs that come close together share a map. */
     private static final long CLAIM_MS = 2000;
 
@@ -61,6 +63,11 @@
         contactAt = context.now();
     }
 
+    /** True if the state service has answered lately. */
+    boolean reachesState() {
+        return silence() <= REACHED_MS;
+    }
+
     /** Milliseconds since the state service last answered. */
     long silence() {
         return context.now() - contactAt;
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -145,7 +145,7 @@
                 takeProof(m);
             }
         }
-        boolean launches = membership.silence() < 2000;
+        boolean launches = membership.reachesState();
         List<JobEntry> order = new ArrayList<>();
         for (String id : release.ready()) {
             JobEntry job = replica.job(id);
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -54,21 +54,21 @@
         return limited(job) && shared(team(job));
     }
 
-    /** A controller's share: an equal one, but for what was lent. */
-    private double cpusShare(Settings.Team team, String node) {
-        double share = team.cpusMax() / replica.map().members().size();
-        for (Value.Loan l : replica.map().loans()) {
-            share += l.team().equals(team.name()) && l.node().equals(node) ? l.cpus() : 0;
-        }
-        return share;
-    }
+    /** CPUs and GPUs. */
+    record Amount(double cpus, double gpus) {}
 
-    private double gpusShare(Settings.Team team, String node) {
-        double share = team.gpusMax() / replica.map().members().size();
+    /** A controller's share: an equal one, but for what was lent. */
+    private Amount share(Settings.Team team, String node) {
+        int controllers = replica.map().members().size();
+        double cpus = team.cpusMax() / controllers;
+        double gpus = team.gpusMax() / controllers;
         for (Value.Loan l : replica.map().loans()) {
-            share += l.team().equals(team.name()) && l.node().equals(node) ? l.gpus() : 0;
+            if (l.team().equals(team.name()) && l.node().equals(node)) {
+                cpus += l.cpus();
+                gpus += l.gpus();
+            }
         }
-        return share;
+        return new Amount(cpus, gpus);
     }
 
     /** True if the team's limit is lent launch by launch. */
@@ -97,16 +97,19 @@
         for (Value.Member member : replica.map().members()) {
             if (!member.name().equals(settings.node())) {
                 Use use = machines.use(job.team(), member.name());
-                othersCpus += Math.max(use.cpus(), cpusShare(team, member.name()));
-                othersGpus += Math.max(use.gpus(), gpusShare(team, member.name()));
+                Amount share = share(team, member.name());
+                othersCpus += Math.max(use.cpus(), share.cpus());
+                othersGpus += Math.max(use.gpus(), share.gpus());
             }
         }
-        return room(team, job, settings.node(), team.cpusMax() - othersCpus, team.gpusMax() - othersGpus);
+        Amount left = new Amount(team.cpusMax() - othersCpus, team.gpusMax() - othersGpus);
+        return room(team, job, settings.node(), left);
     }
 
-    private int room(Settings.Team team, Job job, String node, double cpus, double gpus) {
+    private int room(Settings.Team team, Job job, String node, Amount share) {
         Use use = machines.use(job.team(), node);
-        return Math.min(use.room(team.cpusMax(), cpus, true, job), use.room(team.gpusMax(), gpus, false, job));
+        return Math.min(
+                use.room(team.cpusMax(), share.cpus(), true, job), use.room(team.gpusMax(), share.gpus(), false, job));
     }
 
     /** How many tasks of the job a controller has room for under the team's limit, in its share where it has one. */
@@ -115,18 +118,14 @@
         if (!limited(job)) {
             return Integer.MAX_VALUE;
         }
-        return shared(team)
-                ? room(team, job, node, cpusShare(team, node), gpusShare(team, node))
-                : room(job, machines.use(job.team()));
-    }
-
-    /** What a controller leaves of its share of the team's CPUs; less than nothing if it has inherited too much. */
-    double spareCpus(Job job, String node) {
-        return cpusShare(team(job), node) - machines.use(job.team(), node).cpus();
+        return shared(team) ? room(team, job, node, share(team, node)) : room(job, machines.use(job.team()));
     }
 
-    double spareGpus(Job job, String node) {
-        return gpusShare(team(job), node) - machines.use(job.team(), node).gpus();
+    /** What a controller leaves of its share of the team's limit; less than nothing if it has inherited too much. */
+    Amount spare(Job job, String node) {
+        Amount share = share(team(job), node);
+        Use use = machines.use(job.team(), node);
+        return new Amount(share.cpus() - use.cpus(), share.gpus() - use.gpus());
     }
 
     /** True if the team as a whole has room for more, though perhaps not in this controller's share. */
--- a/src/main/java/dewlane/core/Returns.java
+++ b/src/main/java/dewlane/core/Returns.java
@@ -45,7 +45,7 @@
 
     void tick() {
         if (!membership.joined()
-                || membership.silence() > 2000
+                || !membership.reachesState()
                 || context.now() - returnedAt < GATHER_MS
                 || !transactions.open(TransactionQueue.Urgency.LATER)) {
             return;
