--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -10,7 +10,7 @@
 import dewlane.core.Priority;
 import dewlane.core.Report;
 import dewlane.core.Settings;
-import dewlane.core.Txn;
+import dewlane.core.Transaction;
 import dewlane.core.Value;
 import dewlane.io.Endpoints;
 import dewlane.io.Node;
@@ -91,11 +91,11 @@
                 new Input.StateListed(List.of(), 1, 1),
                 new Input.CatalogRead(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
                 new Input.Tick(),
-                new Input.TxnAnswer(1, Txn.Status.COMMITTED, 2),
+                new Input.TxnAnswer(1, Transaction.Status.COMMITTED, 2),
                 new Input.Changes(List.of(new Input.Change(Keys.MAP, map, 2)), 2),
                 new Input.Tick(),
                 new Input.Submit(1, job.id(), job, null),
-                new Input.TxnAnswer(2, Txn.Status.COMMITTED, 3),
+                new Input.TxnAnswer(2, Transaction.Status.COMMITTED, 3),
                 new Input.Changes(
                         List.of(
                                 new Input.Change(Keys.job(job.id()), new Value.JobRecord(job, List.of(), 0), 3),
--- a/src/main/java/dewlane/core/Autoscaler.java
+++ b/src/main/java/dewlane/core/Autoscaler.java
@@ -8,7 +8,7 @@
 
 /**
  * Rents machines for the demand in sight, while this controller leads. What idles goes back by its partition's owner
- * (see {@link Returns}), and {@link CloudInventory} deletes it.
+ * (see {@link ScaleDown}), and {@link CloudInventory} deletes it.
  */
 final class Autoscaler {
     private static final long LIST_MS = 2000;
--- a/src/main/java/dewlane/core/CapacityDemand.java
+++ b/src/main/java/dewlane/core/CapacityDemand.java
@@ -25,9 +25,9 @@
     /** Room on machines of one place that are up or on their way. */
     private static final class Bin {
         final MachineType type;
-        final Use use;
+        final ResourceUsage use;
 
-        Bin(MachineType type, Use use) {
+        Bin(MachineType type, ResourceUsage use) {
             this.type = type;
             this.use = use;
         }
@@ -69,11 +69,11 @@
     Map<JobEntry, Double> unmet(Map<String, Rental> booting, Collection<Rental> asked) {
         Map<Place, List<Bin>> bins = bins(booting, asked);
         Map<JobEntry, Double> unmet = new LinkedHashMap<>();
-        Map<String, Use> teams = new HashMap<>();
+        Map<String, ResourceUsage> teams = new HashMap<>();
         Set<Job.Shape> full = new HashSet<>();
         for (JobEntry job : waitingJobs()) {
             Job spec = job.job();
-            Use team = teams.computeIfAbsent(spec.team(), t -> new Use(machines.use(t)));
+            ResourceUsage team = teams.computeIfAbsent(spec.team(), t -> new ResourceUsage(machines.use(t)));
             int allowed = Math.min(job.waiting(), quota.room(spec, team));
             team.add(spec, Math.max(0, allowed));
             int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
@@ -91,7 +91,7 @@
         for (Machine m : machines.all()) {
             MachineType type = machines.type(m);
             if (type != null && takesTasks(m) && m.use.cpus() < type.cpus()) {
-                add(bins, new Place(type.name(), m.zone, m.spot), new Bin(type, new Use(m.use)));
+                add(bins, new Place(type.name(), m.zone, m.spot), new Bin(type, new ResourceUsage(m.use)));
             }
         }
         booting.forEach((name, rental) -> {
@@ -99,13 +99,13 @@
             if (type != null
                     && !replica.machines().containsKey(name)
                     && context.now() - rental.at() < COUNTED_BOOTS * 1000 * type.bootS()) {
-                add(bins, rental.place(), new Bin(type, new Use()));
+                add(bins, rental.place(), new Bin(type, new ResourceUsage()));
             }
         });
         for (Rental rental : asked) {
             MachineType type = machines.type(rental.place().type());
             for (int i = 0; type != null && i < rental.count(); i++) {
-                add(bins, rental.place(), new Bin(type, new Use()));
+                add(bins, rental.place(), new Bin(type, new ResourceUsage()));
             }
         }
         return bins;
@@ -128,7 +128,7 @@
     }
 
     private boolean faulty(JobEntry job) {
-        Work work = machines.knownWork(job.id);
+        JobProgress work = machines.knownWork(job.id);
         return work != null && work.faulty();
     }
 
--- a/src/main/java/dewlane/core/CloudInventory.java
+++ b/src/main/java/dewlane/core/CloudInventory.java
@@ -212,7 +212,10 @@
 
     private void write(String key, long version, MachineRecord record) {
         if (writing.add(key)) {
-            Txn txn = new Txn.Builder().when(key, version).set(key, record).build();
+            Transaction txn = new Transaction.Builder()
+                    .when(key, version)
+                    .set(key, record)
+                    .build();
             transactions.submit(TransactionQueue.Urgency.OUTCOME, txn, (status, revision) -> writing.remove(key));
         }
     }
@@ -220,7 +223,10 @@
     private void drop(Replica.MachineEntry entry) {
         String key = entry.key();
         if (writing.add(key)) {
-            Txn txn = new Txn.Builder().when(key, entry.version()).delete(key).build();
+            Transaction txn = new Transaction.Builder()
+                    .when(key, entry.version())
+                    .delete(key)
+                    .build();
             transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
                 writing.remove(key);
                 goneAt.remove(key);
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -29,14 +29,14 @@
     private final Membership membership;
     private final Cancellations cancellations;
     private final Machines machines;
-    private final Attempts attempts;
+    private final WorkerSessions attempts;
     private final Placement placement;
-    private final Health health;
+    private final FailureDetector health;
     private final Autoscaler autoscaler;
     private final Users users;
     private final ReadBarrier barrier;
-    private final Lending lending;
-    private final Returns returns;
+    private final QuotaRebalancer lending;
+    private final ScaleDown returns;
     private boolean listing;
     private long listedAt;
     /** When the watch under way, or the listing before it, was asked for: its answer shows all that was by then. */
@@ -56,13 +56,13 @@
         machines = new Machines(context, replica);
         membership = new Membership(context, replica, machines, transactions);
         Quota quota = new Quota(settings, replica, machines);
-        Dealer dealer = new Dealer(context, replica, machines, quota);
-        lending = new Lending(context, replica, membership, quota, dealer);
+        JobDistributor dealer = new JobDistributor(context, replica, machines, quota);
+        lending = new QuotaRebalancer(context, replica, membership, quota, dealer);
         placement = new Placement(
                 context, replica, machines, membership, transactions, release, quota, dealer, cancellations, counters);
-        attempts = new Attempts(context, replica, machines, membership, placement, cancellations, counters);
-        health = new Health(context, replica, machines, membership, transactions, cancellations);
-        returns = new Returns(context, replica, machines, membership, transactions, placement);
+        attempts = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
+        health = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
+        returns = new ScaleDown(context, replica, machines, membership, transactions, placement);
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
         CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota);
         autoscaler = new Autoscaler(context, replica, machines, membership, inventory, demand);
@@ -118,7 +118,7 @@
         } else if (input instanceof Input.Changes in) {
             changes(in);
         } else if (input instanceof Input.TxnAnswer in) {
-            if (in.status() == Txn.Status.COMMITTED || in.status() == Txn.Status.CONFLICT) {
+            if (in.status() == Transaction.Status.COMMITTED || in.status() == Transaction.Status.CONFLICT) {
                 membership.contact();
             }
             transactions.answered(in);
--- a/src/main/java/dewlane/core/Effect.java
+++ b/src/main/java/dewlane/core/Effect.java
@@ -12,7 +12,7 @@
     record Watch(long since) implements Effect {}
 
     /** Send a transaction. */
-    record SendTxn(long id, Txn txn) implements Effect {}
+    record SendTxn(long id, Transaction txn) implements Effect {}
 
     /** Ask for a lease. */
     record GrantLease(long ttlMs) implements Effect {}
--- a/src/main/java/dewlane/core/Health.java
+++ b/src/main/java/dewlane/core/FailureDetector.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** Asks for the deletion of machines of this part that fell silent or are faulty. */
-final class Health {
+final class FailureDetector {
     /** As many as the cloud deletes at once. */
     private static final int MOST_AT_ONCE = 100;
 
@@ -44,7 +44,7 @@
     private long endedAt = Long.MIN_VALUE / 2;
     private long mostSilentAt = Long.MIN_VALUE / 2;
 
-    Health(
+    FailureDetector(
             Context context,
             Replica replica,
             Machines machines,
@@ -198,7 +198,7 @@
     private void condemn(List<String> names, String reason) {
         asking.addAll(names);
         String key = Keys.machines(context.settings().node(), incarnation, ++records);
-        Txn txn = new Txn.Builder()
+        Transaction txn = new Transaction.Builder()
                 .when(key, 0)
                 .when(Keys.MAP, replica.mapVersion())
                 .set(key, new MachineRecord(MachineFate.DELETE, reason, names))
--- a/src/main/java/dewlane/core/Input.java
+++ b/src/main/java/dewlane/core/Input.java
@@ -27,7 +27,7 @@
     record WatchFailed(boolean tooOld) implements Input {}
 
     /** How a transaction ended, as far as the answer tells. */
-    record TxnAnswer(long id, Txn.Status status, long revision) implements Input {}
+    record TxnAnswer(long id, Transaction.Status status, long revision) implements Input {}
 
     /** A lease was granted (0: not). */
     record LeaseGranted(long lease) implements Input {}
--- a/src/main/java/dewlane/core/Dealer.java
+++ b/src/main/java/dewlane/core/JobDistributor.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Deals jobs among the parts by free room, as slices of their tasks: few, as each slice costs changes. */
-final class Dealer {
+final class JobDistributor {
     /** Keeps a slice's done marks well within the smallest value the state service takes. */
     private static final int MAX_SLICE = 20_000;
     /** Tasks that find no room wait in no more slices than so many each make worth while. */
@@ -40,7 +40,7 @@
     private long countedAt = Long.MIN_VALUE / 2;
     private long countedFor;
 
-    Dealer(Context context, Replica replica, Machines machines, Quota quota) {
+    JobDistributor(Context context, Replica replica, Machines machines, Quota quota) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -92,7 +92,7 @@
             for (SliceEntry s : other.slices()) {
                 int left = s.value().waiting();
                 if (left > 0) {
-                    int part = index(members, Parts.owner(replica.map(), s.key, s.value()));
+                    int part = index(members, Partitions.owner(replica.map(), s.key, s.value()));
                     double each = other.job().cpus() / Math.max(0.001, job.cpus());
                     waiting[part] += left * each;
                     if (waitedLong && rooms[part] > 0) {
--- a/src/main/java/dewlane/core/Work.java
+++ b/src/main/java/dewlane/core/JobProgress.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 
 /** What this controller is doing for one job: outcomes to make durable, and the write under way. */
-final class Work {
+final class JobProgress {
     /** What became of an attempt. */
     enum Outcome {
         DONE,
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -118,9 +118,9 @@
 
     final Map<Key, Live> live = new LinkedHashMap<>();
     /** What the attempts take that may be on the machine, those in a write under way included. */
-    final Use use = new Use();
+    final ResourceUsage use = new ResourceUsage();
     /** Room that this pass keeps for jobs that others were stopped for; null: none. */
-    Use kept;
+    ResourceUsage kept;
 
     long idleSince;
 
@@ -164,11 +164,13 @@
 
     /** How many tasks of the job the machine has room for, less what is kept for others. */
     int room(MachineType of, Job job) {
-        return kept == null ? use.room(of, job) : new Use(use).add(kept).room(of, job);
+        return kept == null
+                ? use.room(of, job)
+                : new ResourceUsage(use).add(kept).room(of, job);
     }
 
     void keep(Job job) {
-        kept = kept == null ? new Use() : kept;
+        kept = kept == null ? new ResourceUsage() : kept;
         kept.add(job);
     }
 
--- a/src/main/java/dewlane/core/MachineType.java
+++ b/src/main/java/dewlane/core/MachineType.java
@@ -17,7 +17,7 @@
 
     /** How many tasks of the job fit on an empty machine. */
     public int fits(Job job) {
-        return new Use().room(this, job);
+        return new ResourceUsage().room(this, job);
     }
 
     /** True if a task of the shape fits on an empty machine. */
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -35,13 +35,13 @@
 
     private final Set<String> gone = new HashSet<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
-    private final Map<String, Work> works = new HashMap<>();
+    private final Map<String, JobProgress> works = new HashMap<>();
     /** Jobs with launches that the replica does not show yet. */
     private final Set<String> settling = new LinkedHashSet<>();
 
-    private final Map<String, Use> teamUse = new HashMap<>();
+    private final Map<String, ResourceUsage> teamUse = new HashMap<>();
     /** By controller and team. */
-    private final Map<String, Map<String, Use>> ownerUse = new HashMap<>();
+    private final Map<String, Map<String, ResourceUsage>> ownerUse = new HashMap<>();
     /** Shapes of the jobs that are not over, and how many have each. */
     private final Object2IntOpenHashMap<Job.Shape> shapes = new Object2IntOpenHashMap<>();
     /** As of the present shapes: the question is asked for every job and type. */
@@ -120,23 +120,23 @@
         return gone.contains(name);
     }
 
-    Work work(String job) {
-        return works.computeIfAbsent(job, j -> new Work());
+    JobProgress work(String job) {
+        return works.computeIfAbsent(job, j -> new JobProgress());
     }
 
     /** The work on a job, or null if this controller has had none. */
-    Work knownWork(String job) {
+    JobProgress knownWork(String job) {
         return works.get(job);
     }
 
     /** What a team's tasks may be using, gone ones included until the proof is durable. */
-    Use use(String team) {
-        return teamUse.computeIfAbsent(team, t -> new Use());
+    ResourceUsage use(String team) {
+        return teamUse.computeIfAbsent(team, t -> new ResourceUsage());
     }
 
     /** What of a team's use counts against a controller: that of the slices it owns. */
-    Use use(String team, String node) {
-        return ownerUse.computeIfAbsent(node, n -> new HashMap<>()).computeIfAbsent(team, t -> new Use());
+    ResourceUsage use(String team, String node) {
+        return ownerUse.computeIfAbsent(node, n -> new HashMap<>()).computeIfAbsent(team, t -> new ResourceUsage());
     }
 
     void follow(Delta delta) {
@@ -196,7 +196,7 @@
 
     private void slice(JobEntry job, SliceEntry slice, Slice before, Slice after) {
         if (job.job() != null) {
-            Work work = works.get(job.id);
+            JobProgress work = works.get(job.id);
             if (work != null && after != null && !work.launching.isEmpty()) {
                 work.launching.removeIf(l -> {
                     boolean seen = l.slice() == slice.number
@@ -234,7 +234,7 @@
         Machine.Live live = new Machine.Live(job, slice, a);
         m.live.put(live.key, live);
         m.use.add(spec);
-        live.countedFor = Parts.owner(replica.map(), slice.key, slice.value());
+        live.countedFor = Partitions.owner(replica.map(), slice.key, slice.value());
         count(spec, live.countedFor, 1);
         touch(m);
     }
@@ -251,7 +251,7 @@
         }
         count(spec, live.countedFor, -1);
         m.stops.remove(key);
-        Work work = works.get(job.id);
+        JobProgress work = works.get(job.id);
         if (work != null) {
             work.outcomes.remove(key);
         }
@@ -269,7 +269,7 @@
     }
 
     /** Counts a launch from the moment it is decided. */
-    void launching(JobEntry job, Work.Launch launch) {
+    void launching(JobEntry job, JobProgress.Launch launch) {
         work(job.id).launching.add(launch);
         settling.add(job.id);
         launch.machine().use.add(launch.spec());
@@ -302,7 +302,7 @@
     void settle() {
         for (Iterator<String> i = settling.iterator(); i.hasNext(); ) {
             String id = i.next();
-            Work work = works.get(id);
+            JobProgress work = works.get(id);
             if (work != null && work.busy(replica.revision())) {
                 continue;
             }
@@ -338,7 +338,7 @@
         ownerUse.clear();
         for (Machine m : byName.values()) {
             for (Machine.Live l : m.live.values()) {
-                l.countedFor = Parts.owner(replica.map(), l.slice.key, l.slice.value());
+                l.countedFor = Partitions.owner(replica.map(), l.slice.key, l.slice.value());
                 if (l.countedFor != null) {
                     use(l.job.job().team(), l.countedFor).add(l.job.job());
                 }
@@ -353,7 +353,7 @@
     private void settleOwner(Machine m, boolean anew) {
         ClusterMap map = replica.map();
         String before = m.owner;
-        m.owner = Parts.owner(map, m.name);
+        m.owner = Partitions.owner(map, m.name);
         if (anew || m.owner == null || !m.owner.equals(before)) {
             m.ownerSince = context.now();
         }
@@ -443,7 +443,7 @@
     boolean faulty(Machine m) {
         int blamed = 0;
         for (String job : m.failedJobs) {
-            Work work = works.get(job);
+            JobProgress work = works.get(job);
             blamed += work == null || !work.faulty() ? 1 : 0;
         }
         return blamed >= 2;
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -108,7 +108,7 @@
     }
 
     boolean leads() {
-        return joined() && self.equals(Parts.leader(replica.map()));
+        return joined() && self.equals(Partitions.leader(replica.map()));
     }
 
     void granted(long granted) {
@@ -167,7 +167,7 @@
                         .collect(Collectors.toCollection(ArrayList::new));
         members.add(new Member(self, epoch));
         write(
-                new Txn.Builder()
+                new Transaction.Builder()
                         .when(Keys.MAP, replica.mapVersion())
                         .set(Keys.MAP, next(epoch, members, Map.of()))
                         .setLeased(Keys.presence(self), new Presence(epoch), lease)
@@ -184,7 +184,7 @@
             }
             rank += replica.presences().containsKey(m.name()) ? 1 : 0;
         }
-        Txn.Builder txn = new Txn.Builder().when(Keys.MAP, replica.mapVersion());
+        Transaction.Builder txn = new Transaction.Builder().when(Keys.MAP, replica.mapVersion());
         List<Member> left = new ArrayList<>();
         for (Member m : map.members()) {
             boolean here = m.name().equals(self) || replica.presences().containsKey(m.name());
@@ -236,7 +236,7 @@
         }
         lending.clear();
         write(
-                new Txn.Builder()
+                new Transaction.Builder()
                         .when(Keys.MAP, replica.mapVersion())
                         .set(Keys.MAP, new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans)))
                         .build(),
@@ -246,7 +246,7 @@
     private void takeOver() {
         ClusterMap map = replica.map();
         claims.removeIf(
-                m -> self.equals(Parts.owner(map, m)) || replica.machines().containsKey(m));
+                m -> self.equals(Partitions.owner(map, m)) || replica.machines().containsKey(m));
         if (!claims.isEmpty() && context.now() - claimedAt > CLAIM_MS) {
             claimedAt = context.now();
             context.info("taking over machines that cannot reach their controller: " + claims);
@@ -254,7 +254,7 @@
             claims.stream().limit(MOST_MOVED).forEach(m -> claimed.put(m, self));
             claims.removeAll(claimed.keySet());
             write(
-                    new Txn.Builder()
+                    new Transaction.Builder()
                             .when(Keys.MAP, replica.mapVersion())
                             .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed))
                             .build(),
@@ -281,14 +281,14 @@
                 same ? replica.map().loans() : List.of());
     }
 
-    private void write(Txn txn, long incarnation) {
+    private void write(Transaction txn, long incarnation) {
         writing = true;
         transactions.submit(TransactionQueue.Urgency.MEMBERSHIP, txn, (status, revision) -> {
             writing = false;
             writtenAt = revision;
-            if (status == Txn.Status.COMMITTED) {
+            if (status == Transaction.Status.COMMITTED) {
                 joinedAs = incarnation;
-            } else if (status == Txn.Status.INVALID) {
+            } else if (status == Transaction.Status.INVALID) {
                 // The lease ended while the write was under way.
                 lease = 0;
             }
--- a/src/main/java/dewlane/core/Parts.java
+++ b/src/main/java/dewlane/core/Partitions.java
@@ -9,8 +9,8 @@
  * Divides machines into parts, one per controller of the map, by rendezvous hash: a controller that leaves or joins
  * moves only its own machines.
  */
-public final class Parts {
-    private Parts() {}
+public final class Partitions {
+    private Partitions() {}
 
     /** The controller whose part a machine or a key belongs to, or null without a map. */
     public static String owner(ClusterMap map, String name) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -1,11 +1,11 @@
 package dewlane.core;
 
+import dewlane.core.JobProgress.Outcome;
 import dewlane.core.Machine.Key;
 import dewlane.core.Machine.Live;
 import dewlane.core.Replica.JobEntry;
 import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Value.Slice;
-import dewlane.core.Work.Outcome;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -56,7 +56,7 @@
     private final TransactionQueue transactions;
     private final Release release;
     private final Quota quota;
-    private final Dealer dealer;
+    private final JobDistributor dealer;
     private final Cancellations cancellations;
     private final Counters counters;
     private final Preemption preemption;
@@ -76,7 +76,7 @@
             TransactionQueue transactions,
             Release release,
             Quota quota,
-            Dealer dealer,
+            JobDistributor dealer,
             Cancellations cancellations,
             Counters counters) {
         this.context = context;
@@ -172,7 +172,7 @@
     }
 
     private boolean hasToDo(JobEntry job) {
-        Work work = machines.knownWork(job.id);
+        JobProgress work = machines.knownWork(job.id);
         if (work != null && !work.outcomes.isEmpty()) {
             return true;
         }
@@ -186,11 +186,11 @@
 
     /** Where several controllers made the last outcomes durable, one of them ends the job, so that they do not race. */
     private boolean ends(JobEntry job) {
-        return self.equals(Parts.owner(replica.map(), Keys.job(job.id)));
+        return self.equals(Partitions.owner(replica.map(), Keys.job(job.id)));
     }
 
     private boolean ownsSlice(SliceEntry slice, Slice value) {
-        return self.equals(Parts.owner(replica.map(), slice.key, value));
+        return self.equals(Partitions.owner(replica.map(), slice.key, value));
     }
 
     /** All that was on a machine that is proven gone is gone. */
@@ -201,7 +201,7 @@
     }
 
     /** Notes an outcome that is to be made durable; true if it is the first for the attempt. */
-    boolean record(Work work, Key key, Outcome outcome) {
+    boolean record(JobProgress work, Key key, Outcome outcome) {
         if (work.outcomes.isEmpty()) {
             work.outcomesSince = context.now();
         }
@@ -221,7 +221,7 @@
     }
 
     private void step(JobEntry job, boolean launches) {
-        Work work = machines.work(job.id);
+        JobProgress work = machines.work(job.id);
         if (work.busy(replica.revision()) || !transactions.open(TransactionQueue.Urgency.OUTCOME)) {
             return;
         }
@@ -234,8 +234,8 @@
                 room -= after.attempts().size();
             }
         }
-        Txn.Builder txn = new Txn.Builder();
-        List<Work.Launch> launched = new ArrayList<>();
+        Transaction.Builder txn = new Transaction.Builder();
+        List<JobProgress.Launch> launched = new ArrayList<>();
         boolean decided = false;
         if (job.aborted() ? noneLive(job, next) : allDone(job, next)) {
             if (next.isEmpty() && !ends(job)) {
@@ -266,7 +266,7 @@
      * Outcomes of tasks whose slice has others running can wait for more, as each change is read by every controller:
      * the room of what ended is free already. Not so under a limit that is lent by what is durable.
      */
-    private boolean mayGather(Job spec, Work work, Map<SliceEntry, Slice> next) {
+    private boolean mayGather(Job spec, JobProgress work, Map<SliceEntry, Slice> next) {
         boolean lent = quota.lends(spec);
         long most = transactions.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
         return context.now() - work.outcomesSince < most
@@ -275,7 +275,7 @@
     }
 
     /** Removes what is held of a job that is over; its final state stays. */
-    private void finish(JobEntry job, Txn.Builder txn) {
+    private void finish(JobEntry job, Transaction.Builder txn) {
         txn.when(Keys.job(job.id), job.version()).delete(Keys.job(job.id));
         for (SliceEntry slice : job.slices()) {
             txn.when(slice.key, slice.version());
@@ -285,7 +285,7 @@
         }
     }
 
-    private void write(JobEntry job, Work work, Txn.Builder txn, List<Work.Launch> launched) {
+    private void write(JobEntry job, JobProgress work, Transaction.Builder txn, List<JobProgress.Launch> launched) {
         work.writing = true;
         // What comes from now on gathers anew: the outcomes of this write stay listed until the replica shows them.
         work.outcomesSince = context.now();
@@ -295,7 +295,7 @@
         transactions.submit(urgency, txn.build(), (status, revision) -> {
             work.writing = false;
             work.settled = revision;
-            if (status == Txn.Status.COMMITTED) {
+            if (status == Transaction.Status.COMMITTED) {
                 counters.launched += launched.size();
             }
             if (counted) {
@@ -304,7 +304,7 @@
         });
     }
 
-    private Slice applyOutcomes(JobEntry job, Slice slice, Work work) {
+    private Slice applyOutcomes(JobEntry job, Slice slice, JobProgress work) {
         if (work.outcomes.isEmpty() || slice.attempts().isEmpty()) {
             return slice;
         }
@@ -340,10 +340,10 @@
     /** True if something is to be written: launches, or tasks handed to another part. */
     private boolean launch(
             JobEntry job,
-            Work work,
+            JobProgress work,
             Map<SliceEntry, Slice> next,
-            Txn.Builder txn,
-            List<Work.Launch> launched,
+            Transaction.Builder txn,
+            List<JobProgress.Launch> launched,
             int roomInWrite) {
         Job spec = job.job();
         if (quota.busy(spec)) {
@@ -413,7 +413,7 @@
             List<Candidate> candidates,
             int most,
             Set<String> used,
-            List<Work.Launch> launched) {
+            List<JobProgress.Launch> launched) {
         Job spec = job.job();
         List<Attempt> live = new ArrayList<>(value.attempts());
         Map<String, Integer> zones = spec.placesLinked() ? zonesOf(live) : Map.of();
@@ -435,7 +435,7 @@
             while (here-- > 0 && zoneAllowed(spec, zones, m.zone)) {
                 Attempt a = new Attempt(value.first() + offset, number, m.name, m.session, m.token(), context.wall());
                 live.add(a);
-                Work.Launch launch = new Work.Launch(m, a, slice.number, spec);
+                JobProgress.Launch launch = new JobProgress.Launch(m, a, slice.number, spec);
                 launched.add(launch);
                 machines.launching(job, launch);
                 used.add(m.name);
@@ -456,13 +456,18 @@
      * has.
      */
     private boolean handOver(
-            JobEntry job, Work work, SliceEntry slice, Slice value, Map<SliceEntry, Slice> next, Txn.Builder txn) {
+            JobEntry job,
+            JobProgress work,
+            SliceEntry slice,
+            Slice value,
+            Map<SliceEntry, Slice> next,
+            Transaction.Builder txn) {
         Job spec = job.job();
         if (context.now() - work.handedAt < HANDED_MS || context.now() - work.lookedAt < LOOK_MS) {
             return false;
         }
         work.lookedAt = context.now();
-        Dealer.Offer to = dealer.better(job, self);
+        JobDistributor.Offer to = dealer.better(job, self);
         if (to == null) {
             return false;
         }
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -34,7 +34,7 @@
     private List<Machine> usable = List.of();
     private Set<String> guaranteed = Set.of();
     /** What is in use once the stops under way have ended, with the room that is kept for those they were made for. */
-    private final Map<Machine, Use> coming = new HashMap<>();
+    private final Map<Machine, ResourceUsage> coming = new HashMap<>();
 
     private final List<Machine> keeping = new ArrayList<>();
     /** Claims for which this pass found nothing to stop. */
@@ -66,10 +66,10 @@
 
     /** Room on the machine once the stops under way have ended. */
     private void free(Machine m, Job job) {
-        coming.computeIfAbsent(m, k -> new Use(k.use)).remove(job);
+        coming.computeIfAbsent(m, k -> new ResourceUsage(k.use)).remove(job);
     }
 
-    private Use after(Machine m) {
+    private ResourceUsage after(Machine m) {
         return coming.getOrDefault(m, m.use);
     }
 
@@ -104,7 +104,7 @@
             }
             machines.touch(m);
             // Nobody further down the order gets this room in the meantime.
-            coming.computeIfAbsent(m, k -> new Use(k.use)).add(spec);
+            coming.computeIfAbsent(m, k -> new ResourceUsage(k.use)).add(spec);
             m.keep(spec);
             keeping.add(m);
             offer(m, job, offers);
@@ -151,7 +151,7 @@
             }
         }
         may.sort(Comparator.comparingDouble(this::loss));
-        Use left = new Use(after(m));
+        ResourceUsage left = new ResourceUsage(after(m));
         List<Live> chosen = new ArrayList<>();
         for (Live l : may) {
             chosen.add(l);
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -15,10 +15,10 @@
  * still has the version that the replica shows, no launch for the team is missing from the replica, so the use counted
  * there, which holds every attempt that is not proven gone, is an upper bound.
  *
- * <p>Of a large limit each controller of the map has a share, an equal one at first (see {@link Lending}), and needs no
- * key: what is on machines counts against the owner of its slice, who alone launches there, so a controller knows its
- * own use. Another may come to own more than its share when a controller leaves; it then starts nothing, and the others
- * keep that much of theirs free.
+ * <p>Of a large limit each controller of the map has a share, an equal one at first (see {@link QuotaRebalancer}), and
+ * needs no key: what is on machines counts against the owner of its slice, who alone launches there, so a controller
+ * knows its own use. Another may come to own more than its share when a controller leaves; it then starts nothing, and
+ * the others keep that much of theirs free.
  */
 final class Quota {
     private final Settings settings;
@@ -96,7 +96,7 @@
         double othersGpus = 0;
         for (Value.Member member : replica.map().members()) {
             if (!member.name().equals(settings.node())) {
-                Use use = machines.use(job.team(), member.name());
+                ResourceUsage use = machines.use(job.team(), member.name());
                 Amount share = share(team, member.name());
                 othersCpus += Math.max(use.cpus(), share.cpus());
                 othersGpus += Math.max(use.gpus(), share.gpus());
@@ -107,7 +107,7 @@
     }
 
     private int room(Settings.Team team, Job job, String node, Amount share) {
-        Use use = machines.use(job.team(), node);
+        ResourceUsage use = machines.use(job.team(), node);
         return Math.min(
                 use.room(team.cpusMax(), share.cpus(), true, job), use.room(team.gpusMax(), share.gpus(), false, job));
     }
@@ -124,7 +124,7 @@
     /** What a controller leaves of its share of the team's limit; less than nothing if it has inherited too much. */
     Amount spare(Job job, String node) {
         Amount share = share(team(job), node);
-        Use use = machines.use(job.team(), node);
+        ResourceUsage use = machines.use(job.team(), node);
         return new Amount(share.cpus() - use.cpus(), share.gpus() - use.gpus());
     }
 
@@ -134,7 +134,7 @@
     }
 
     /** How many more fit if the team used so much in all. */
-    int room(Job job, Use use) {
+    int room(Job job, ResourceUsage use) {
         Settings.Team team = team(job);
         return team == null ? 0 : use.room(team, job);
     }
@@ -169,14 +169,14 @@
     /** True if the team uses more than its guarantee. */
     boolean borrows(Job job) {
         Settings.Team team = team(job);
-        Use use = machines.use(job.team());
+        ResourceUsage use = machines.use(job.team());
         return team == null || use.cpus() > team.cpus() + 1e-9 || use.gpus() > team.gpus() + 1e-9;
     }
 
     /** Makes a launch conditional on the count it was decided by. */
-    void guard(Txn.Builder txn, Job job) {
+    void guard(Transaction.Builder txn, Job job) {
         if (lends(job)) {
-            Use use = machines.use(job.team());
+            ResourceUsage use = machines.use(job.team());
             txn.when(Keys.team(job.team()), replica.teamVersion(job.team()));
             txn.set(Keys.team(job.team()), new Value.TeamRecord(use.cpus(), use.gpus()));
             settledAt.put(job.team(), Long.MAX_VALUE);
--- a/src/main/java/dewlane/core/Lending.java
+++ b/src/main/java/dewlane/core/QuotaRebalancer.java
@@ -12,7 +12,7 @@
  * <p>The shares stand in the map, which every launch is conditional on, so all controllers change them at the same
  * revision.
  */
-final class Lending {
+final class QuotaRebalancer {
     /** So long a job waits before the shares are changed for it, and so long they then stay as they are. */
     private static final long WAIT_MS = 15_000;
 
@@ -22,10 +22,10 @@
     private final Replica replica;
     private final Membership membership;
     private final Quota quota;
-    private final Dealer dealer;
+    private final JobDistributor dealer;
     private long lentAt = Long.MIN_VALUE / 2;
 
-    Lending(Context context, Replica replica, Membership membership, Quota quota, Dealer dealer) {
+    QuotaRebalancer(Context context, Replica replica, Membership membership, Quota quota, JobDistributor dealer) {
         this.context = context;
         this.replica = replica;
         this.membership = membership;
--- a/src/main/java/dewlane/core/Use.java
+++ b/src/main/java/dewlane/core/ResourceUsage.java
@@ -1,16 +1,16 @@
 package dewlane.core;
 
 /** CPUs, GPUs and memory in use, counted in millionths so that what is added and taken away leaves no rest. */
-final class Use {
+final class ResourceUsage {
     private static final double UNIT = 1e6;
 
     private long cpus;
     private long gpus;
     private long memory;
 
-    Use() {}
+    ResourceUsage() {}
 
-    Use(Use other) {
+    ResourceUsage(ResourceUsage other) {
         cpus = other.cpus;
         gpus = other.gpus;
         memory = other.memory;
@@ -20,7 +20,7 @@
         return Math.round(amount * UNIT);
     }
 
-    Use add(Use other) {
+    ResourceUsage add(ResourceUsage other) {
         cpus += other.cpus;
         gpus += other.gpus;
         memory += other.memory;
--- a/src/main/java/dewlane/core/Returns.java
+++ b/src/main/java/dewlane/core/ScaleDown.java
@@ -12,7 +12,7 @@
  * <p>The partition's owner alone launches on a machine, and the record is conditional on the map, so nothing can be on
  * the machines once it is written; the leader deletes them.
  */
-final class Returns {
+final class ScaleDown {
     private static final int MOST_AT_ONCE = 100;
     /** Those that become idle soon after one another share a record. */
     private static final long GATHER_MS = 4000;
@@ -28,7 +28,7 @@
     private long records;
     private long returnedAt = Long.MIN_VALUE / 2;
 
-    Returns(
+    ScaleDown(
             Context context,
             Replica replica,
             Machines machines,
@@ -83,13 +83,13 @@
         context.info("returning idle machines " + names);
         idle.forEach(m -> m.leaving = true);
         String key = Keys.machines(context.settings().node() + "-idle", membership.incarnation(), ++records);
-        Txn txn = new Txn.Builder()
+        Transaction txn = new Transaction.Builder()
                 .when(key, 0)
                 .when(Keys.MAP, replica.mapVersion())
                 .set(key, new MachineRecord(MachineFate.RETURN, "idle", names))
                 .build();
         transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
-            if (status != Txn.Status.COMMITTED) {
+            if (status != Transaction.Status.COMMITTED) {
                 idle.forEach(m -> m.leaving = false);
             }
         });
--- a/src/main/java/dewlane/core/Txn.java
+++ b/src/main/java/dewlane/core/Transaction.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** A conditional write, applied as a whole or not at all. */
-public record Txn(List<Guard> when, List<Write> apply) {
+public record Transaction(List<Guard> when, List<Write> apply) {
 
     /** The key must have this version; 0: it must not exist. */
     public record Guard(String key, long version) {}
@@ -64,8 +64,8 @@
         }
 
         /** The transaction as it stands. */
-        public Txn build() {
-            return new Txn(List.copyOf(when), List.copyOf(apply));
+        public Transaction build() {
+            return new Transaction(List.copyOf(when), List.copyOf(apply));
         }
     }
 }
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -32,19 +32,19 @@
          * Called once, with the definite answer and its revision. What a user has waited too long for is told as
          * refused or unknown instead; it may then yet be applied.
          */
-        void answered(Txn.Status status, long revision);
+        void answered(Transaction.Status status, long revision);
     }
 
     private static final class Entry {
         final long id;
         final Urgency urgency;
-        final Txn txn;
+        final Transaction txn;
         final Listener listener;
         final long submittedAt;
         long notBefore;
         int tries;
 
-        Entry(long id, Urgency urgency, Txn txn, Listener listener, long submittedAt) {
+        Entry(long id, Urgency urgency, Transaction txn, Listener listener, long submittedAt) {
             this.submittedAt = submittedAt;
             this.id = id;
             this.urgency = urgency;
@@ -104,7 +104,7 @@
         share = Math.max(1, controllers);
     }
 
-    void submit(Urgency urgency, Txn txn, Listener listener) {
+    void submit(Urgency urgency, Transaction txn, Listener listener) {
         enqueue(new Entry(nextId++, urgency, txn, listener, context.now()));
         pump();
     }
@@ -166,11 +166,11 @@
         }
         switch (answer.status()) {
             case COMMITTED, CONFLICT, INVALID -> {
-                counters.conflicts += answer.status() == Txn.Status.CONFLICT ? 1 : 0;
+                counters.conflicts += answer.status() == Transaction.Status.CONFLICT ? 1 : 0;
                 entry.listener.answered(answer.status(), answer.revision());
             }
             default -> {
-                if (answer.status() == Txn.Status.REFUSED) {
+                if (answer.status() == Transaction.Status.REFUSED) {
                     refused();
                 }
                 if (fromUser(entry) && context.now() - entry.submittedAt > USER_PATIENCE_MS) {
@@ -197,11 +197,11 @@
     }
 
     /** What users wait for is tried again soon; the rest stays off until there is something to have. */
-    private void tryAgain(Entry entry, Txn.Status status) {
+    private void tryAgain(Entry entry, Transaction.Status status) {
         entry.tries++;
         long pause = PAUSE_MS;
         if (entry.urgency.compareTo(Urgency.USER) <= 0) {
-            boolean busy = status == Txn.Status.REFUSED && fromUser(entry);
+            boolean busy = status == Transaction.Status.REFUSED && fromUser(entry);
             pause = busy ? USER_REFUSED_PAUSE_MS : USER_PAUSE_MS;
         }
         entry.notBefore = context.now()
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -27,7 +27,7 @@
     private final Machines machines;
     private final Membership membership;
     private final TransactionQueue transactions;
-    private final Dealer dealer;
+    private final JobDistributor dealer;
     private final Cancellations cancellations;
     private final ReadBarrier barrier;
     private final RateLimit finalReads;
@@ -40,7 +40,7 @@
             Machines machines,
             Membership membership,
             TransactionQueue transactions,
-            Dealer dealer,
+            JobDistributor dealer,
             Cancellations cancellations,
             ReadBarrier barrier) {
         this.context = context;
@@ -101,14 +101,14 @@
             return;
         }
         Job job = in.job().withAccepted(context.wall());
-        Txn.Builder txn = new Txn.Builder()
+        Transaction.Builder txn = new Transaction.Builder()
                 .when(Keys.job(job.id()), 0)
                 .when(Keys.fin(job.id()), 0)
                 .set(Keys.job(job.id()), new JobRecord(job, dealer.deal(job), 0));
         transactions.submit(TransactionQueue.Urgency.USER, txn.build(), (status, revision) -> {
-            if (status == Txn.Status.COMMITTED) {
+            if (status == Transaction.Status.COMMITTED) {
                 answer(in.id(), 201, new JobState(job.id(), Condition.PENDING, 0, 0), null);
-            } else if (status == Txn.Status.CONFLICT) {
+            } else if (status == Transaction.Status.CONFLICT) {
                 lookUp(in.id(), job.id(), () -> answer(in.id(), 503, null, "try again"));
             } else {
                 unavailable(in.id());
@@ -176,18 +176,18 @@
     private void cancel(Input.Abort in, JobRecord record, long version) {
         Job job = record.job();
         FinalRecord fin = new FinalRecord(true, context.wall());
-        Txn txn = new Txn.Builder()
+        Transaction txn = new Transaction.Builder()
                 .when(Keys.job(job.id()), version)
                 .set(Keys.job(job.id()), new JobRecord(job, record.deals(), context.wall()))
                 .set(Keys.fin(job.id()), fin)
                 .build();
         transactions.submit(TransactionQueue.Urgency.SAFETY, txn, (status, revision) -> {
-            if (status == Txn.Status.COMMITTED) {
+            if (status == Transaction.Status.COMMITTED) {
                 context.info("job " + job.id() + " cancelled");
                 cancellations.confirmed(job.id());
                 replica.rememberFinal(job.id(), fin);
                 answer(in.id(), 200, new JobState(job.id(), Condition.ABORTED, 0, 0), null);
-            } else if (status == Txn.Status.CONFLICT) {
+            } else if (status == Transaction.Status.CONFLICT) {
                 // Done, or cancelled by another request or an earlier copy of this one: see which.
                 barrier.await(() -> abortKnown(in), () -> unavailable(in.id()));
             } else {
--- a/src/main/java/dewlane/core/Attempts.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -1,12 +1,10 @@
 package dewlane.core;
 
+import dewlane.core.JobProgress.Outcome;
 import dewlane.core.Machine.Key;
 import dewlane.core.Machine.Live;
-import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Report.Phase;
 import dewlane.core.Report.TaskState;
-import dewlane.core.Work.Outcome;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,11 +14,7 @@
  * Speaks to the workers of this controller's part: takes reports, gives orders, and finds proof that an attempt is
  * gone. All orders follow from the replica and the latest report, so a lost or repeated message changes nothing.
  */
-final class Attempts {
-    /** How long an attempt that the replica does not explain is left alone: the replica may lag. */
-    private static final long UNACCOUNTED_MS = 5000;
-
-    private static final int MOST_ORDERS = 400;
+final class WorkerSessions {
     /** A worker that cannot reach its owner comes round again within this time. */
     private static final long STRAY_MS = 30_000;
 
@@ -29,8 +23,6 @@
     /** How often a suspected machine is asked for a sign that it hears. */
     private static final long PROBE_MS = 2000;
 
-    private static final long RESEND_MS = 2000;
-
     private final Context context;
     private final Replica replica;
     private final Machines machines;
@@ -39,8 +31,9 @@
     private final Cancellations cancellations;
     private final Counters counters;
     private final String self;
+    private final OrderPlanner planner;
 
-    Attempts(
+    WorkerSessions(
             Context context,
             Replica replica,
             Machines machines,
@@ -56,6 +49,7 @@
         this.cancellations = cancellations;
         this.counters = counters;
         this.self = context.settings().node();
+        this.planner = new OrderPlanner(context, replica, machines, cancellations);
     }
 
     /**
@@ -95,7 +89,7 @@
         take(m, r, id == 0);
         if (id != 0) {
             m.reportedAt = context.now();
-            List<Order> orders = orders(m, true);
+            List<Order> orders = planner.orders(m, true);
             m.promised = m.token();
             m.promisedLaunches.clear();
             for (Order o : orders) {
@@ -242,7 +236,7 @@
             m.failedJobs.clear();
         } else if (outcome == Outcome.ERROR) {
             m.failedJobs.add(l.job.id);
-            Work work = machines.work(l.job.id);
+            JobProgress work = machines.work(l.job.id);
             work.errors++;
             work.failedOn.add(m.name);
             work.notBefore = context.now() + Math.min(30_000, 250L << Math.min(work.errors, 7));
@@ -253,92 +247,6 @@
         }
     }
 
-    /** What the machine should do now. All of it is repeated in every answer until a report shows it done. */
-    private List<Order> orders(Machine m, boolean inAnswer) {
-        List<Key> forget = new ArrayList<>();
-        List<Key> strangers = new ArrayList<>();
-        m.reported.forEach((key, t) -> {
-            if (!m.live.containsKey(key)) {
-                settle(m, key, t, forget, strangers);
-            }
-        });
-        boolean raise = m.unsure && !forget.isEmpty();
-        for (Live l : m.live.values()) {
-            // A launch that may still be on its way must not arrive after its job's cancellation.
-            raise |= cancellations.ended(l.job)
-                    && !m.reported.containsKey(l.key)
-                    && l.attempt.session() == m.session
-                    && l.attempt.token() == m.token();
-        }
-        if (raise) {
-            m.raiseFence();
-        }
-        List<Order> orders = new ArrayList<>();
-        for (Live l : m.live.values()) {
-            Order order = orderFor(m, l);
-            if (order != null && (inAnswer || due(m, l.key))) {
-                orders.add(order);
-            }
-        }
-        for (Key k : strangers) {
-            if (!inAnswer && !due(m, k)) {
-                continue;
-            }
-            orders.add(new Order(Order.Kind.STOP, k.job(), k.task(), k.number(), 0));
-        }
-        for (Key k : forget) {
-            orders.add(new Order(Order.Kind.FORGET, k.job(), k.task(), k.number(), 0));
-        }
-        // The rest follows with the next answer: no answer or command may be longer than 64 KiB.
-        return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
-    }
-
-    private boolean due(Machine m, Key key) {
-        return !m.commanded.containsKey(key) || context.now() - m.commanded.getLong(key) > RESEND_MS;
-    }
-
-    private Order orderFor(Machine m, Live l) {
-        TaskState t = m.reported.get(l.key);
-        Attempt a = l.attempt;
-        if (t == null) {
-            // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a
-            // launch
-            // written long ago must not be sent on a view that may lack its job's cancellation.
-            boolean mayLaunch = cancellations.mayLaunch()
-                    && !cancellations.ended(l.job)
-                    && a.session() == m.session
-                    && a.token() == m.token()
-                    && !machines.work(l.job.id).outcomes.containsKey(l.key);
-            return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
-        }
-        if (t.phase() == Phase.EXITED) {
-            return null;
-        }
-        if (cancellations.ended(l.job)) {
-            return new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), 0);
-        }
-        Double grace = m.stops.get(l.key);
-        return grace == null || t.phase() == Phase.SAVING
-                ? null
-                : new Order(Order.Kind.STOP, l.job.id, a.task(), a.number(), grace);
-    }
-
-    /** An attempt on the machine that the replica does not hold against it. */
-    private void settle(Machine m, Key key, TaskState t, List<Key> forget, List<Key> strangers) {
-        JobEntry job = replica.job(key.job());
-        SliceEntry slice = job == null ? null : job.sliceOf(key.task());
-        boolean settled = slice != null ? slice.value().launches() >= key.number() : replica.fin(key.job()) != null;
-        if (!settled) {
-            m.unaccounted.putIfAbsent(key, context.now());
-            settled = context.now() - m.unaccounted.getLong(key) > UNACCOUNTED_MS;
-        }
-        if (settled && t.phase() == Phase.EXITED) {
-            forget.add(key);
-        } else if (settled) {
-            strangers.add(key);
-        }
-    }
-
     /** Sends what is new straight to the workers; the answers to their reports repeat it. */
     void command() {
         if (!membership.joined() || machines.changed().isEmpty()) {
@@ -353,7 +261,7 @@
                 later.add(m);
                 continue;
             }
-            List<Order> orders = orders(m, false);
+            List<Order> orders = planner.orders(m, false);
             boolean urgent = orders.stream().anyMatch(o -> o.kind() != Order.Kind.FORGET);
             boolean probe = m.suspectedSince != 0
                     && context.now() - m.probedAt > PROBE_MS
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -2,7 +2,7 @@
 
 import dewlane.core.Input;
 import dewlane.core.Keys;
-import dewlane.core.Txn;
+import dewlane.core.Transaction;
 import dewlane.wire.StateWire;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Methods;
@@ -98,15 +98,15 @@
                 });
     }
 
-    void txn(long id, Txn txn) {
+    void txn(long id, Transaction txn) {
         calls.send(Methods.POST, StateWire.TXN, StateWire.txn(txn), CALL_MS, (status, body) -> {
-            Txn.Status outcome =
+            Transaction.Status outcome =
                     switch (status) {
-                        case 200 -> Txn.Status.COMMITTED;
-                        case 409 -> Txn.Status.CONFLICT;
-                        case 400 -> Txn.Status.INVALID;
-                        case 429, 503 -> Txn.Status.REFUSED;
-                        default -> Txn.Status.UNKNOWN;
+                        case 200 -> Transaction.Status.COMMITTED;
+                        case 409 -> Transaction.Status.CONFLICT;
+                        case 400 -> Transaction.Status.INVALID;
+                        case 429, 503 -> Transaction.Status.REFUSED;
+                        default -> Transaction.Status.UNKNOWN;
                     };
             long revision = 0;
             try {
@@ -118,7 +118,7 @@
                             new String(body, java.nio.charset.StandardCharsets.UTF_8));
                 }
             } catch (IOException e) {
-                outcome = Txn.Status.UNKNOWN;
+                outcome = Transaction.Status.UNKNOWN;
             }
             core.accept(new Input.TxnAnswer(id, outcome, revision));
         });
--- a/src/main/java/dewlane/wire/StateWire.java
+++ b/src/main/java/dewlane/wire/StateWire.java
@@ -7,7 +7,7 @@
 import dewlane.core.Job;
 import dewlane.core.Keys;
 import dewlane.core.Priority;
-import dewlane.core.Txn;
+import dewlane.core.Transaction;
 import dewlane.core.Value;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -105,11 +105,11 @@
     }
 
     /** The body of a conditional transaction. */
-    public static byte[] txn(Txn txn) {
+    public static byte[] txn(Transaction txn) {
         return Json.write(out -> {
             out.writeStartObject();
             out.writeArrayFieldStart("when");
-            for (Txn.Guard g : txn.when()) {
+            for (Transaction.Guard g : txn.when()) {
                 out.writeStartObject();
                 out.writeStringField("key", g.key());
                 out.writeNumberField("entry", g.version());
@@ -117,7 +117,7 @@
             }
             out.writeEndArray();
             out.writeArrayFieldStart("apply");
-            for (Txn.Write w : txn.apply()) {
+            for (Transaction.Write w : txn.apply()) {
                 out.writeStartObject();
                 if (w.value() == null) {
                     out.writeStringField("delete", w.key());
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -102,7 +102,7 @@
         hear(100, new Input.Tick());
         Effect.SendTxn txn = take(Effect.SendTxn.class).get(0);
         revision++;
-        hear(5, new Input.TxnAnswer(txn.id(), Txn.Status.COMMITTED, revision));
+        hear(5, new Input.TxnAnswer(txn.id(), Transaction.Status.COMMITTED, revision));
         hear(
                 5,
                 new Input.Changes(
@@ -125,8 +125,8 @@
                 .filter(Effect.Command.class::isInstance)
                 .map(Effect.Command.class::cast)
                 .allMatch(c -> c.orders().isEmpty()));
-        Txn txn = take(Effect.SendTxn.class).get(0).txn();
-        List<String> guards = txn.when().stream().map(Txn.Guard::key).toList();
+        Transaction txn = take(Effect.SendTxn.class).get(0).txn();
+        List<String> guards = txn.when().stream().map(Transaction.Guard::key).toList();
         assertTrue(
                 guards.containsAll(List.of(
                         Keys.job("wk-1"), Keys.slice("wk-1", 0), Keys.MAP, Keys.machine("m1"), Keys.team("blue"))),
@@ -139,7 +139,7 @@
         change(Keys.job("wk-1"), new JobRecord(job(9, 3), List.of(), 0));
         change(Keys.slice("wk-1", 0), new Slice("n0", 0, 9, 0, new BitSet(), List.of()));
         hear(100, new Input.Tick());
-        Txn txn = take(Effect.SendTxn.class).get(0).txn();
+        Transaction txn = take(Effect.SendTxn.class).get(0).txn();
         Slice written = (Slice) txn.apply().stream()
                 .filter(w -> w.key().startsWith(Keys.SLICES))
                 .findFirst()
@@ -425,7 +425,7 @@
         change(Keys.slice(job.id(), 0), new Slice("n0", 0, tasks, 1, new BitSet(), attempts));
         effects.clear();
         int writes = 0;
-        List<Txn.Write> shown = new ArrayList<>();
+        List<Transaction.Write> shown = new ArrayList<>();
         for (int ended = 1; ended < tasks; ended++) {
             List<Report.TaskState> states = new ArrayList<>();
             for (int i = 0; i < tasks; i++) {
@@ -445,7 +445,7 @@
             hear(100, new Input.Tick());
             for (Effect.SendTxn sent : take(Effect.SendTxn.class)) {
                 writes++;
-                hear(5, new Input.TxnAnswer(sent.id(), Txn.Status.COMMITTED, revision + 1));
+                hear(5, new Input.TxnAnswer(sent.id(), Transaction.Status.COMMITTED, revision + 1));
                 shown.addAll(sent.txn().apply());
             }
         }
--- a/src/test/java/dewlane/sim/Checker.java
+++ b/src/test/java/dewlane/sim/Checker.java
@@ -157,7 +157,7 @@
                         broken(
                                 "left_waiting",
                                 id + " waits beside room on " + m.name + " of "
-                                        + dewlane.core.Parts.owner(
+                                        + dewlane.core.Partitions.owner(
                                                 (dewlane.core.Value.ClusterMap) world.state.get(dewlane.core.Keys.MAP),
                                                 m.name)
                                         + "\n" + world.lately(m.name) + world.describe(id));
--- a/src/test/java/dewlane/sim/MeetingsTest.java
+++ b/src/test/java/dewlane/sim/MeetingsTest.java
@@ -9,7 +9,7 @@
 import dewlane.core.Effect.Condition;
 import dewlane.core.Job;
 import dewlane.core.Keys;
-import dewlane.core.Parts;
+import dewlane.core.Partitions;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
 import dewlane.core.Value;
@@ -605,7 +605,7 @@
         world.users.cancelAt(other(world, leader), JOB);
         world.every(500, () -> world.users.pollAt(leader, JOB));
         world.run(100_000);
-        assertNotEquals(leader.name, Parts.leader(map(world)), "another leads");
+        assertNotEquals(leader.name, Partitions.leader(map(world)), "another leads");
         leader.cutFromState = false;
         leader.cutFromPeers = false;
         calm(world, 200_000);
--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -264,7 +264,7 @@
 
     /** The controller that leads the fleet, or another if there is none. */
     static SimNode leader(World world, SimNode other) {
-        String name = dewlane.core.Parts.leader((dewlane.core.Value.ClusterMap) world.state.get(Keys.MAP));
+        String name = dewlane.core.Partitions.leader((dewlane.core.Value.ClusterMap) world.state.get(Keys.MAP));
         return name == null ? other : world.nodes.get(name);
     }
 
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -7,7 +7,7 @@
 
 import dewlane.core.Job;
 import dewlane.core.Keys;
-import dewlane.core.Parts;
+import dewlane.core.Partitions;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
 import dewlane.core.Value;
@@ -487,7 +487,7 @@
         SimWorker large = world.cloud.create("large", "east", true);
         large.boot();
         world.run(15_000);
-        String has = Parts.owner((Value.ClusterMap) world.state.get(Keys.MAP), large.name);
+        String has = Partitions.owner((Value.ClusterMap) world.state.get(Keys.MAP), large.name);
         String hasNot = world.nodes.keySet().stream()
                 .filter(n -> !n.equals(has))
                 .findFirst()
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -2,7 +2,7 @@
 
 import dewlane.core.Input;
 import dewlane.core.Keys;
-import dewlane.core.Txn;
+import dewlane.core.Transaction;
 import dewlane.core.Value;
 import dewlane.wire.StateWire;
 import java.util.ArrayList;
@@ -142,24 +142,25 @@
         watches.addAll(left);
     }
 
-    void txn(SimNode node, long id, Txn txn) {
+    void txn(SimNode node, long id, Transaction txn) {
         if (lateWrites > 0 && world.chance(lateWrites) && node.stateReachable()) {
             int of = node.life;
             world.after(world.between(2000, 12_000), () -> {
                 if (!out) {
                     lateTried++;
                     Input answer = apply(id, txn);
-                    lateApplied += answer instanceof Input.TxnAnswer a && a.status() == Txn.Status.COMMITTED ? 1 : 0;
+                    lateApplied +=
+                            answer instanceof Input.TxnAnswer a && a.status() == Transaction.Status.COMMITTED ? 1 : 0;
                 }
             });
-            world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0)));
+            world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Transaction.Status.UNKNOWN, 0)));
             return;
         }
         node.callState(
                 () -> serves(node) && withinRequests()
                         ? apply(id, txn)
-                        : new Input.TxnAnswer(id, Txn.Status.REFUSED, 0),
-                new Input.TxnAnswer(id, Txn.Status.UNKNOWN, 0),
+                        : new Input.TxnAnswer(id, Transaction.Status.REFUSED, 0),
+                new Input.TxnAnswer(id, Transaction.Status.UNKNOWN, 0),
                 1500);
     }
 
@@ -189,19 +190,19 @@
         return true;
     }
 
-    private Input apply(long id, Txn txn) {
+    private Input apply(long id, Transaction txn) {
         if (!withinRate(txn.apply().size())) {
-            return new Input.TxnAnswer(id, Txn.Status.REFUSED, 0);
+            return new Input.TxnAnswer(id, Transaction.Status.REFUSED, 0);
         }
-        for (Txn.Write w : txn.apply()) {
+        for (Transaction.Write w : txn.apply()) {
             if (w.lease() != 0 && !leases.containsKey(w.lease())) {
-                return new Input.TxnAnswer(id, Txn.Status.INVALID, 0);
+                return new Input.TxnAnswer(id, Transaction.Status.INVALID, 0);
             }
         }
-        for (Txn.Guard g : txn.when()) {
+        for (Transaction.Guard g : txn.when()) {
             Held held = keys.get(g.key());
             if ((held == null ? 0 : held.version) != g.version() && !unguarded(g.key())) {
-                return new Input.TxnAnswer(id, Txn.Status.CONFLICT, revision);
+                return new Input.TxnAnswer(id, Transaction.Status.CONFLICT, revision);
             }
         }
         if (txn.apply().size() > world.settings.txnOps() || txn.when().size() > 4 * world.settings.txnOps()) {
@@ -222,7 +223,7 @@
         if (!txn.apply().isEmpty()) {
             revision++;
         }
-        for (Txn.Write w : txn.apply()) {
+        for (Transaction.Write w : txn.apply()) {
             int length = w.value() == null ? 0 : StateWire.value(w.value()).length;
             longestValue = Math.max(longestValue, length);
             if (length > world.settings.valueBytes()) {
@@ -238,7 +239,7 @@
             }
         }
         notifyWatches();
-        return new Input.TxnAnswer(id, Txn.Status.COMMITTED, revision);
+        return new Input.TxnAnswer(id, Transaction.Status.COMMITTED, revision);
     }
 
     /** The conditions that a test has removed. */
