--- a/src/test/java/dewlane/sim/MeetingsTest.java
+++ b/src/test/java/dewlane/sim/MeetingsTest.java
@@ -1,5 +1,15 @@
 package dewlane.sim;
 
+import static dewlane.sim.Scenarios.NO_LIMIT;
+import static dewlane.sim.Scenarios.calm;
+import static dewlane.sim.Scenarios.id;
+import static dewlane.sim.Scenarios.job;
+import static dewlane.sim.Scenarios.leader;
+import static dewlane.sim.Scenarios.map;
+import static dewlane.sim.Scenarios.other;
+import static dewlane.sim.Scenarios.running;
+import static dewlane.sim.Scenarios.with;
+import static dewlane.sim.Scenarios.world;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -13,7 +23,6 @@
 import dewlane.core.Priority;
 import dewlane.core.Settings;
 import dewlane.core.Value;
-import dewlane.core.Value.ClusterMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,43 +33,11 @@
 
 /**
  * The meetings of troubles that the operators named, each brought about by itself; that it came about is asserted. The
- * checker looks at the rules after each step, and in {@link #calm} at what has to hold once all troubles are over.
+ * checker looks at the rules after each step, and in {@link Scenarios#calm} at what has to hold once all troubles are
+ * over.
  */
 class MeetingsTest {
     private static final String JOB = "wk-000001";
-    private static final Map<String, Settings.Team> NO_LIMIT = Map.of("blue", new Settings.Team("blue", 0, 0, 0, 0));
-
-    private static World world(long seed, int machines) {
-        return World.quiet(seed, NO_LIMIT, 16, machines);
-    }
-
-    private static String id(int number) {
-        return String.format("wk-%06d", number);
-    }
-
-    private static Job job(int number, Priority priority, int tasks, double cpus, double estimateS) {
-        return new Job(
-                id(number),
-                "lot",
-                "blue",
-                priority,
-                tasks,
-                cpus,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                estimateS,
-                0,
-                0,
-                0,
-                0);
-    }
 
     private static Job placed(int number, int tasks, String zone, boolean oneZone, boolean spread) {
         return new Job(
@@ -86,46 +63,6 @@
                 0);
     }
 
-    private static SimNode leader(World world) {
-        return RandomRunsTest.leader(world, null);
-    }
-
-    private static SimNode other(World world, SimNode than) {
-        return world.nodes.values().stream()
-                .filter(n -> n != than && n.alive)
-                .findFirst()
-                .orElseThrow();
-    }
-
-    private static ClusterMap map(World world) {
-        return (ClusterMap) world.state.get(Keys.MAP);
-    }
-
-    private static long running(World world, String job) {
-        return world.cloud.machines.values().stream()
-                .mapToLong(m -> m.running(job))
-                .sum();
-    }
-
-    private static List<SimWorker> with(World world, String job) {
-        return world.cloud.machines.values().stream()
-                .filter(m -> m.running(job) > 0)
-                .toList();
-    }
-
-    /** All troubles are over: no job is forgotten or left waiting, and in the end nothing but final states is left. */
-    private static void calm(World world, long ms) {
-        world.trouble = 0;
-        world.users.askAboutAll();
-        world.checker.watchWaiting();
-        world.run(world.now() + ms);
-        for (String id : world.users.accepted()) {
-            assertNotNull(world.state.get(Keys.fin(id)), id + " never ended\n" + world.lately(id) + world.describe(id));
-        }
-        assertEquals(Map.of(), world.state.all(Keys.JOBS));
-        assertEquals(Map.of(), world.state.all(Keys.SLICES));
-    }
-
     /**
      * Refuses the leader alone, has another confirm the cancellation, then is out for all; returns when it was
      * confirmed. If it is to stay untold, who confirmed it ends at once, so that the leader, which still hears a peer,
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -42,6 +42,17 @@
         return m;
     }
 
+    /** How long a machine takes to come up. */
+    int fastestBootMs = 2000;
+
+    int slowestBootMs = 9000;
+    /** The share of direct commands that are held up on their way, for up to 16 s, and carried out unanswered. */
+    double lateCommands;
+    /** Commands that were held up, and those of them that came after their sender had ended. */
+    int heldUp;
+
+    int heldUpPastTheirSender;
+
     void catalog(SimNode node) {
         if (!out) {
             node.call(() -> true, () -> new Input.CatalogRead(types), new Input.Tick(), 5000);
@@ -70,7 +81,7 @@
                             SimWorker m = create(e.type(), e.zone(), e.spot());
                             names.add(m.name);
                             if (!world.chance(0.1)) {
-                                world.after(world.between(2000, 9000), m::boot);
+                                world.after(world.between(fastestBootMs, slowestBootMs), m::boot);
                             }
                         }
                         if (names.isEmpty()) {
@@ -123,6 +134,14 @@
         if (node.cutFromWorkers) {
             return;
         }
+        if (lateCommands > 0 && world.chance(lateCommands)) {
+            heldUp++;
+            world.after(world.between(2000, 16_000), () -> {
+                heldUpPastTheirSender += node.life == of ? 0 : 1;
+                m.whenAwake(node.name, () -> {}, () -> m.command(e, sentAt));
+            });
+            return;
+        }
         world.deliver(() -> m.whenAwake(
                 node.name,
                 () -> world.deliver(() -> {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -31,10 +31,18 @@
     private final List<Watch> watches = new ArrayList<>();
     final Set<String> refused = new HashSet<>();
     boolean out;
+    /** How long the answers of watches take beyond the usual. */
+    int watchLagMs;
     /** How long an answer takes at most beyond the usual. */
     int slowMs;
     /** The share of transactions that get no answer and are carried out seconds later, after newer ones. */
     double lateWrites;
+    /**
+     * The share of transactions that are carried out at once while only the answer is lost; how many changed something.
+     */
+    double lostAnswers;
+
+    int answersLost;
     /** Transactions carried out late, and how many of them still changed something. */
     int lateTried;
 
@@ -45,10 +53,8 @@
     long machineChanges;
     int longestValue;
     int longestTxn;
-    private double tokens;
-    private long refilledAt;
-    private double requestTokens;
-    private long requestsRefilledAt;
+    private final SimRate writeRate = new SimRate();
+    private final SimRate requestRate = new SimRate();
     /** Requests so far but watches that wait, and those refused for their rate. */
     int requests;
 
@@ -136,7 +142,7 @@
             List<Input.Change> changes =
                     log.stream().filter(c -> c.version() > w.since).toList();
             long at = revision;
-            world.after(world.between(1, 6), () -> w.node.hear(w.life, new Input.Changes(changes, at)));
+            world.after(world.between(1, 6) + watchLagMs, () -> w.node.hear(w.life, new Input.Changes(changes, at)));
         }
         watches.clear();
         watches.addAll(left);
@@ -156,6 +162,16 @@
             world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Transaction.Status.UNKNOWN, 0)));
             return;
         }
+        if (lostAnswers > 0 && world.chance(lostAnswers) && node.stateReachable()) {
+            int of = node.life;
+            world.deliver(() -> {
+                if (serves(node) && apply(id, txn) instanceof Input.TxnAnswer a) {
+                    answersLost += a.status() == Transaction.Status.COMMITTED ? 1 : 0;
+                }
+            });
+            world.after(1500, () -> node.hear(of, new Input.TxnAnswer(id, Transaction.Status.UNKNOWN, 0)));
+            return;
+        }
         node.callState(
                 () -> serves(node) && withinRequests()
                         ? apply(id, txn)
@@ -164,34 +180,16 @@
                 1500);
     }
 
-    /** True if the changes are within the rate, with a burst of one second's worth. */
-    private boolean withinRate(int cost) {
-        double most = world.settings.stateWriteRps();
-        tokens = Math.min(most, tokens + most * (world.now() - refilledAt) / 1000.0);
-        refilledAt = world.now();
-        if (tokens < cost) {
-            return false;
-        }
-        tokens -= cost;
-        return true;
-    }
-
-    /** True if a request is within the rate, with a burst of one second's worth. */
+    /** True if a request is within the rate. */
     private boolean withinRequests() {
-        double most = world.settings.stateRps();
-        requestTokens = Math.min(most, requestTokens + most * (world.now() - requestsRefilledAt) / 1000.0);
-        requestsRefilledAt = world.now();
         requests++;
-        if (requestTokens < 1) {
-            requestsRefused++;
-            return false;
-        }
-        requestTokens--;
-        return true;
+        boolean within = requestRate.take(1, world.settings.stateRps(), world.now());
+        requestsRefused += within ? 0 : 1;
+        return within;
     }
 
     private Input apply(long id, Transaction txn) {
-        if (!withinRate(txn.apply().size())) {
+        if (!writeRate.take(txn.apply().size(), world.settings.stateWriteRps(), world.now())) {
             return new Input.TxnAnswer(id, Transaction.Status.REFUSED, 0);
         }
         for (Transaction.Write w : txn.apply()) {
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -86,7 +86,13 @@
     /** Asks the given controller about a job, once. */
     void pollAt(SimNode node, String id) {
         long askedAt = world.now();
-        node.poll(id, a -> told(id, a, askedAt));
+        boolean known = answeredAt.containsKey(id);
+        node.poll(id, a -> {
+            if (a.status() == 404 && known) {
+                world.checker.broken("forgotten", id + " accepted before " + askedAt);
+            }
+            told(id, a, askedAt);
+        });
     }
 
     /** Sends a job's submission once more, to the given controller. */
