--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -69,7 +69,7 @@
         World world = quietWorld(9);
         int jobs = 3000;
         for (int i = 0; i < jobs; i++) {
-            Job job = smallJob(String.format("wk-%06d", 500_000 + i));
+            Job job = Scenarios.job(500_000 + i, Priority.HIGH, 1, 1, 1);
             world.after(20L * i, () -> world.users.submit(job));
         }
         for (int i = 0; i < 12_000; i++) {
@@ -97,7 +97,7 @@
     void whatIsAskedDuringAnOutageDoesNotHoldUpLaunchesAfterIt() {
         World world = quietWorld(9);
         for (int i = 0; i < 400; i++) {
-            Job job = smallJob(String.format("wk-%06d", 500_000 + i));
+            Job job = Scenarios.job(500_000 + i, Priority.HIGH, 1, 1, 1);
             world.after(150L * i, () -> world.users.submit(job));
         }
         world.run(12_000);
@@ -110,30 +110,6 @@
         assertTrue(world.checker.starts > before + 60, world.checker.starts + " started, " + before + " before it");
     }
 
-    private static Job smallJob(String id) {
-        return new Job(
-                id,
-                "lot",
-                "blue",
-                Priority.HIGH,
-                1,
-                1,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                1,
-                0,
-                0,
-                0,
-                0);
-    }
-
     /** Seen in a recorded incident: workers cut from their controller were sent back to it until their leases ended. */
     @Test
     void machinesCutFromTheirControllerMoveAndLoseNoTask() {
