--- a/src/main/java/dewlane/cli/DeployFile.java
+++ b/src/main/java/dewlane/cli/DeployFile.java
@@ -4,6 +4,7 @@
 import dewlane.core.Settings.Objective;
 import dewlane.core.Settings.Team;
 import dewlane.core.Settings.Tuning;
+import dewlane.core.StateLimits;
 import dewlane.io.Endpoints;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,6 +13,9 @@
 
 /** The settings file that a deployment gives each controller, and the operators' own beside it. */
 public record DeployFile(Settings settings, Endpoints endpoints) {
+    private static final String VALUE_KB = "value_kb";
+    private static final String TXN_OPS = "txn_ops";
+    private static final int LEAST_OPS = StateLimits.LEAST_TXN_OPS;
 
     /**
      * Reads and checks both files.
@@ -71,16 +75,34 @@
                 workers.positive("report_s"),
                 workers.positive("lease_s"),
                 workers.positive("cancel_s"),
-                state.positive("rps"),
-                state.positive("write_rps"),
-                (int) (1024 * state.positive("value_kb")),
-                state.count("txn_ops", 8),
+                stateLimits(state),
                 cloud.positive("rps"),
                 cloud.number("list_lag_s", 0),
                 tuning);
         return new DeployFile(settings, endpoints);
     }
 
+    /** The limits in force now and, where a key of {@code next} says so, those that replace them without notice. */
+    private static StateLimits stateLimits(TomlFile state) throws SettingsException {
+        StateLimits.Limits present = new StateLimits.Limits(
+                state.positive("rps"), state.positive("write_rps"), valueBytes(state), state.count(TXN_OPS, LEAST_OPS));
+        if (!state.has("next")) {
+            return new StateLimits(present, present);
+        }
+        TomlFile next = state.table("next");
+        return new StateLimits(
+                present,
+                new StateLimits.Limits(
+                        next.has("rps") ? next.positive("rps") : present.rps(),
+                        next.has("write_rps") ? next.positive("write_rps") : present.writeRps(),
+                        next.has(VALUE_KB) ? valueBytes(next) : present.valueBytes(),
+                        next.has(TXN_OPS) ? next.count(TXN_OPS, LEAST_OPS) : present.txnOps()));
+    }
+
+    private static int valueBytes(TomlFile limits) throws SettingsException {
+        return (int) (1024 * limits.number(VALUE_KB, StateLimits.LEAST_VALUE_BYTES / 1024.0));
+    }
+
     private static Tuning tuning(TomlFile in) throws SettingsException {
         Tuning d = Tuning.defaults();
         return new Tuning(
--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -10,11 +10,13 @@
 import dewlane.core.Priority;
 import dewlane.core.Report;
 import dewlane.core.Settings;
+import dewlane.core.StateLimits;
 import dewlane.core.Transaction;
 import dewlane.core.Value;
 import dewlane.io.Endpoints;
 import dewlane.io.Node;
 import dewlane.wire.StateWire;
+import dewlane.wire.ValueCodec;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.security.SecureRandom;
@@ -50,10 +52,7 @@
                 3,
                 30,
                 60,
-                100,
-                100,
-                16_384,
-                16,
+                StateLimits.constant(100, 100, 16_384, 16),
                 5,
                 5,
                 Settings.Tuning.defaults());
@@ -61,7 +60,7 @@
 
     /** A controller that joins, takes a job and launches it, with every answer of the state service made up. */
     private static void core() throws IOException {
-        Controller controller = new Controller(settings(), 1);
+        Controller controller = new Controller(settings(), 1, value -> ValueCodec.bytes(value).length);
         Job job = new Job(
                 "wk-1",
                 "lot",
--- a/src/main/java/dewlane/core/Autoscaler.java
+++ b/src/main/java/dewlane/core/Autoscaler.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Rental.Place;
-import dewlane.core.Replica.JobEntry;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -183,7 +182,7 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Place place = new Place(type.name(), zone, spot);
-                    double cost = mayRent(place, type, job) ? cost(type, spot, job) : Double.POSITIVE_INFINITY;
+                    double cost = mayRent(place, type, entry) ? cost(type, spot, job) : Double.POSITIVE_INFINITY;
                     if (cost < bestCost) {
                         best = place;
                         bestCost = cost;
@@ -194,10 +193,11 @@
         return best;
     }
 
-    private boolean mayRent(Place place, MachineType type, Job job) {
+    private boolean mayRent(Place place, MachineType type, JobEntry entry) {
+        Job job = entry.job();
         return type.fits(job) >= 1
                 && job.allows(place.type(), place.zone(), place.spot())
-                && (place.spot() || worthOrdinary(job))
+                && (place.spot() || worthOrdinary(entry))
                 && scarceUntil.getOrDefault(place, 0L) <= context.now();
     }
 
@@ -208,9 +208,9 @@
         return each * rivalry * (1 + lostS / LIFE_S);
     }
 
-    private boolean worthOrdinary(Job job) {
+    private boolean worthOrdinary(JobEntry job) {
         return job.priority() != Priority.IDLE
-                || !job.spot()
-                || context.wall() - job.acceptedMs() > IDLE_PRIORITY_WAIT_MS;
+                || !job.job().spot()
+                || context.wall() - job.waitsSinceMs() > IDLE_PRIORITY_WAIT_MS;
     }
 }
--- a/src/main/java/dewlane/core/Cancellations.java
+++ b/src/main/java/dewlane/core/Cancellations.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Replica.Delta;
-import dewlane.core.Replica.JobEntry;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- /dev/null
+++ b/src/main/java/dewlane/core/Candidate.java
@@ -0,0 +1,4 @@
+package dewlane.core;
+
+/** A machine with room for a task of a job, and what it costs to use it, in seconds of fetching an image. */
+record Candidate(Machine machine, double cost) {}
--- a/src/main/java/dewlane/core/CapacityDemand.java
+++ b/src/main/java/dewlane/core/CapacityDemand.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Rental.Place;
-import dewlane.core.Replica.JobEntry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -51,8 +50,16 @@
     private final Machines machines;
     private final Placement placement;
     private final Quota quota;
-
-    CapacityDemand(Context context, Replica replica, Machines machines, Placement placement, Quota quota) {
+    private final Release release;
+
+    CapacityDemand(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Placement placement,
+            Quota quota,
+            Release release) {
+        this.release = release;
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -119,7 +126,7 @@
     private List<JobEntry> waitingJobs() {
         List<JobEntry> jobs = new ArrayList<>();
         for (JobEntry job : replica.jobs()) {
-            if (job.job() != null && !job.aborted() && !faulty(job) && job.waiting() > 0) {
+            if (job.job() != null && release.isReady(job.id) && !faulty(job) && job.waiting() > 0) {
                 jobs.add(job);
             }
         }
--- a/src/main/java/dewlane/core/CloudInventory.java
+++ b/src/main/java/dewlane/core/CloudInventory.java
@@ -206,8 +206,34 @@
     }
 
     private void replace(Replica.MachineEntry entry, MachineFate fate, String reason) {
-        MachineRecord record = new MachineRecord(fate, reason, entry.record().names());
-        write(entry.key(), entry.version(), record);
+        List<List<String>> parts = MachineRecords.split(
+                entry.record().names(), context.settings().valueBytes());
+        if (parts.size() > 1) {
+            replaceLarge(entry, fate, reason, parts);
+            return;
+        }
+        UnknownFields unknown = entry.record().unknown();
+        write(entry.key(), entry.version(), new MachineRecord(fate, reason, entry.record().names(), unknown));
+    }
+
+    /** A record that was stored under larger limits becomes several, as many as one transaction holds at a time. */
+    private void replaceLarge(
+            Replica.MachineEntry entry, MachineFate fate, String reason, List<List<String>> parts) {
+        if (!writing.add(entry.key())) {
+            return;
+        }
+        Transaction.Builder txn = new Transaction.Builder().when(entry.key(), entry.version());
+        int most = Math.min(parts.size(), context.settings().txnOps());
+        for (int i = 0; i < most; i++) {
+            String key = i == 0 ? entry.key() : entry.key() + "-" + i;
+            if (i > 0) {
+                txn.when(key, 0);
+            }
+            // The names that find no room now stay condemned one by one, by whoever has their part.
+            txn.set(key, new MachineRecord(fate, reason, parts.get(i)));
+        }
+        transactions.submit(
+                TransactionQueue.Urgency.OUTCOME, txn.build(), (status, revision) -> writing.remove(entry.key()));
     }
 
     private void write(String key, long version, MachineRecord record) {
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -2,7 +2,6 @@
 
 import dewlane.core.PeerStatus.PeerMachine;
 import dewlane.core.Replica.Delta;
-import dewlane.core.Replica.JobEntry;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -18,6 +17,10 @@
     /** Machines that one message to a peer tells of: a controller that is alone for a while may have all of them. */
     private static final int MACHINES_A_PAGE = 300;
 
+    /** Log lines about values that cannot be read: some at once, then one every ten seconds. */
+    private static final double UNREADABLE_LINES_PER_S = 0.1;
+
+    private static final double MOST_UNREADABLE_LINES = 10;
     private static final long SLOW_MS = 1000;
     private static final long MOST_SLOWER = 2;
 
@@ -31,12 +34,16 @@
     private final Machines machines;
     private final WorkerSessions attempts;
     private final Placement placement;
+    private final Dependencies dependencies;
+    private final FinalReader finals;
+    private final Submissions submissions;
     private final FailureDetector health;
     private final Autoscaler autoscaler;
     private final Users users;
     private final ReadBarrier barrier;
     private final QuotaRebalancer lending;
     private final ScaleDown returns;
+    private final RateLimit unreadableLog = new RateLimit(UNREADABLE_LINES_PER_S, MOST_UNREADABLE_LINES);
     private boolean listing;
     private long listedAt;
     /** When the watch under way, or the listing before it, was asked for: its answer shows all that was by then. */
@@ -49,25 +56,53 @@
     private long slowAt = Long.MIN_VALUE / 2;
     private long toldAt = Long.MIN_VALUE / 2;
 
-    public Controller(Settings settings, long seed) {
+    public Controller(Settings settings, long seed, ValueSize size) {
         context = new Context(settings, seed);
         cancellations = new Cancellations(context);
-        transactions = new TransactionQueue(context, counters);
+        transactions = new TransactionQueue(context, counters, size);
         machines = new Machines(context, replica);
-        membership = new Membership(context, replica, machines, transactions);
+        membership = new Membership(context, replica, machines, transactions, size);
+        finals = new FinalReader(context, replica);
+        dependencies = new Dependencies(context, replica, release, finals);
         Quota quota = new Quota(settings, replica, machines);
-        JobDistributor dealer = new JobDistributor(context, replica, machines, quota);
-        lending = new QuotaRebalancer(context, replica, membership, quota, dealer);
+        JobDistributor dealer = new JobDistributor(context, replica, machines, quota, release);
+        lending = new QuotaRebalancer(context, replica, membership, quota, dealer, release);
+        LaunchPlanner planner = new LaunchPlanner(context, replica, machines, quota, dealer, counters);
+        JobWriter writer = new JobWriter(
+                context,
+                replica,
+                machines,
+                membership,
+                transactions,
+                dependencies,
+                quota,
+                planner,
+                cancellations,
+                counters,
+                size);
+        LeftoverCleaner cleaner = new LeftoverCleaner(context, replica, transactions);
         placement = new Placement(
-                context, replica, machines, membership, transactions, release, quota, dealer, cancellations, counters);
+                context, replica, machines, membership, release, quota, writer, planner, cleaner, counters);
         attempts = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
         health = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
-        returns = new ScaleDown(context, replica, machines, membership, transactions, placement);
+        returns = new ScaleDown(context, replica, machines, membership, transactions, placement, release);
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
-        CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota);
+        CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota, release);
         autoscaler = new Autoscaler(context, replica, machines, membership, inventory, demand);
         barrier = new ReadBarrier(context, replica);
-        users = new Users(context, replica, machines, membership, transactions, dealer, cancellations, barrier);
+        users = new Users(context, replica, transactions, cancellations, dependencies, barrier, finals, size);
+        submissions = new Submissions(
+                context,
+                replica,
+                machines,
+                membership,
+                transactions,
+                dealer,
+                dependencies,
+                barrier,
+                finals,
+                users,
+                size);
     }
 
     /** Handles one message that arrived at the given steady time and time of day. */
@@ -124,7 +159,7 @@
             transactions.answered(in);
             dirty = true;
         } else if (input instanceof Input.Submit in) {
-            users.submit(in);
+            submissions.submit(in);
         } else if (input instanceof Input.Poll in) {
             users.poll(in);
         } else if (input instanceof Input.Abort in) {
@@ -133,7 +168,8 @@
             if (in.known()) {
                 membership.contact();
             }
-            users.valueRead(in);
+            finals.answered(in);
+            dirty = true;
         } else if (input instanceof Input.RevisionRead in) {
             if (in.known()) {
                 membership.contact();
@@ -175,9 +211,10 @@
             listedAt = context.now();
             context.emit(new Effect.ListState());
         }
-        membership.tick(loaded && replica.revision() >= loadedFrom);
+        membership.tick(caughtUp());
         transactions.pump();
         barrier.tick();
+        dependencies.tick(caughtUp());
         dirty |= context.now() - passedAt >= QUIET_PASS_MS;
         if (cancellations.takeNews() && membership.joined()) {
             // Owners need not wait for their watch, which may be refused just now.
@@ -204,6 +241,11 @@
         }
     }
 
+    /** True if the replica holds all that was durable at some moment, with nothing of a later one in between. */
+    private boolean caughtUp() {
+        return loaded && replica.revision() >= loadedFrom;
+    }
+
     private void loaded(Input.StateListed in) {
         membership.contact();
         listing = false;
@@ -265,25 +307,22 @@
     private void follow(Delta delta) {
         machines.follow(delta);
         cancellations.follow(delta);
-        if (delta instanceof Delta.JobChanged d) {
-            track(d);
-        } else if (delta instanceof Delta.SliceChanged d && d.after() != null) {
+        dependencies.follow(delta);
+        if (delta instanceof Delta.SliceChanged d && d.after() != null) {
             counters.attemptsSeen += d.after().attempts().size();
         } else if (delta instanceof Delta.MapChanged d) {
             context.info("map " + d.after().epoch() + ": " + d.after().members());
+        } else if (delta instanceof Delta.Unread d) {
+            noteUnreadable(d);
         }
     }
 
-    /** Passes a job and its result through the release rules. The wire has no source lists, so they are empty. */
-    private void track(Delta.JobChanged d) {
-        JobEntry job = d.job();
-        if (d.after() == null) {
-            release.finish(job.id, Release.Result.DONE);
-            release.forget(job.id);
-        } else if (d.after().aborted()) {
-            release.finish(job.id, Release.Result.FAILED);
-        } else if (d.before() == null) {
-            release.add(job.id, List.of());
+    /** Says which key cannot be read; of many, only some a minute. */
+    private void noteUnreadable(Delta.Unread unread) {
+        counters.unreadable++;
+        if (unreadableLog.take(context.now())) {
+            context.info("the value of " + unread.key() + " cannot be read, what depends on it is held: "
+                    + unread.reason());
         }
     }
 
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -20,6 +20,8 @@
     private final long[] changesBy = new long[TransactionQueue.Urgency.values().length];
     long conflicts;
     long refused;
+    long invalid;
+    long unreadable;
 
     void wrote(TransactionQueue.Urgency urgency, int changes) {
         writes++;
@@ -46,6 +48,6 @@
                 + probes + ", suspicions " + suspicions + ", handed on " + handed + ", writes " + writes + " of "
                 + changesWritten
                 + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts
-                + ", refused " + refused;
+                + ", refused " + refused + ", invalid " + invalid + ", unreadable " + unreadable;
     }
 }
--- /dev/null
+++ b/src/main/java/dewlane/core/Dependencies.java
@@ -0,0 +1,316 @@
+package dewlane.core;
+
+import dewlane.core.Release.Result;
+import dewlane.core.Replica.Delta;
+import dewlane.core.Value.FinalRecord;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Feeds {@link Release} from what is durable: which jobs each job awaits, and what became of those. A job that is
+ * awaited and not in the replica is over, or its record is just missing from a listing; its final state is looked up,
+ * and until that is known whoever awaits it stays pending.
+ *
+ * <p>A job that is awaited is treated as having the highest priority of any job that needs it, and as having to end
+ * early enough for them: both change only when such a job comes or goes.
+ */
+final class Dependencies {
+    /** Reads of final states under way at once. */
+    private static final int MOST_READS = 4;
+    /** After a read that told nothing no other is begun for so long. */
+    private static final long READ_PAUSE_MS = 500;
+    /** Seconds between the end of a job and the start of the next one: the write, the watch, the launch and the image. */
+    private static final double STEP_S = 3;
+    /** Awaited jobs that a log line names. */
+    private static final int MOST_NAMED = 5;
+
+    private final Context context;
+    private final Replica replica;
+    private final Release release;
+    private final FinalReader reader;
+    /** Awaited jobs of which neither a record nor a final state is known. */
+    private final Set<String> unresolved = new LinkedHashSet<>();
+    /** Those of them that a user's answer depends on. */
+    private final Set<String> urgent = new LinkedHashSet<>();
+
+    private final Set<String> reading = new HashSet<>();
+    private long pausedUntil = Long.MIN_VALUE / 2;
+
+    Dependencies(Context context, Replica replica, Release release, FinalReader reader) {
+        this.context = context;
+        this.replica = replica;
+        this.release = release;
+        this.reader = reader;
+    }
+
+    void follow(Delta delta) {
+        if (delta instanceof Delta.JobChanged d) {
+            jobChanged(d);
+        } else if (delta instanceof Delta.Ended d) {
+            ended(d.job(), d.result());
+        }
+    }
+
+    private void jobChanged(Delta.JobChanged d) {
+        JobEntry job = d.job();
+        if (d.after() == null) {
+            gone(job.id);
+            return;
+        }
+        if (d.before() == null) {
+            added(job);
+        }
+        if (d.after().aborted()) {
+            fail(job.id);
+        }
+    }
+
+    private void added(JobEntry job) {
+        unresolved.remove(job.id);
+        List<String> awaits = job.job().awaits();
+        List<String> failed = release.add(job.id, awaits);
+        for (String id : release.destinations(job.id)) {
+            JobEntry dependant = live(id);
+            if (dependant != null) {
+                expect(job, dependant);
+            }
+        }
+        for (String awaited : awaits) {
+            JobEntry source = live(awaited);
+            if (source != null) {
+                expect(source, job);
+            } else {
+                learn(awaited);
+            }
+        }
+        logFailed(failed, job.id);
+        if (!awaits.isEmpty() && !release.isReady(job.id) && !release.hasFailed(job.id)) {
+            Collection<String> waitsFor = release.sources(job.id);
+            context.info("job " + job.id + " waits for " + waitsFor.size() + " jobs: "
+                    + waitsFor.stream().limit(MOST_NAMED).toList());
+        }
+    }
+
+    /** The job, if it has a record. */
+    private JobEntry live(String id) {
+        JobEntry entry = replica.job(id);
+        return entry == null || entry.record() == null ? null : entry;
+    }
+
+    private void learn(String awaited) {
+        FinalRecord result = replica.fin(awaited);
+        if (result != null) {
+            ended(awaited, result);
+        } else {
+            unresolved.add(awaited);
+        }
+    }
+
+    /** The vanishing of a record proves nothing by itself: the state may just be read anew. */
+    private void gone(String id) {
+        FinalRecord result = replica.fin(id);
+        if (result != null) {
+            ended(id, result);
+        } else if (!release.destinations(id).isEmpty() && !release.hasFailed(id)) {
+            unresolved.add(id);
+        }
+        List<String> sources = List.copyOf(release.allSources(id));
+        release.forget(id);
+        sources.forEach(this::expectAnew);
+        sources.forEach(this::dropIfUnneeded);
+    }
+
+    private void dropIfUnneeded(String id) {
+        if (release.destinations(id).isEmpty()) {
+            unresolved.remove(id);
+            urgent.remove(id);
+        }
+    }
+
+    private void ended(String id, FinalRecord result) {
+        unresolved.remove(id);
+        urgent.remove(id);
+        if (!release.isKnown(id) && release.destinations(id).isEmpty()) {
+            return;
+        }
+        if (result.aborted()) {
+            fail(id);
+            return;
+        }
+        for (String dependant : release.destinations(id)) {
+            JobEntry entry = live(dependant);
+            if (entry != null) {
+                entry.released(result.atMs());
+            }
+        }
+        List<String> waiting = release.destinations(id).stream()
+                .filter(dependant -> !release.isReady(dependant))
+                .toList();
+        release.finish(id, Result.DONE);
+        waiting.stream()
+                .filter(release::isReady)
+                .forEach(dependant -> context.info("job " + dependant + " may start: " + id + " is done, the last one"
+                        + " that it awaited"));
+    }
+
+    private void fail(String id) {
+        List<String> failed = release.finish(id, Result.FAILED);
+        logFailed(failed, id);
+        expectAnewOf(id);
+        failed.forEach(this::expectAnewOf);
+    }
+
+    private void logFailed(List<String> failed, String through) {
+        failed.forEach(job -> context.info("job " + job + " is cancelled through " + through));
+    }
+
+    /** A job that needs the source has come, or is expected to end earlier. */
+    private void expect(JobEntry source, JobEntry dependant) {
+        if (release.hasFailed(dependant.id)) {
+            return;
+        }
+        Priority priority = highest(source.priority(), dependant.priority());
+        long deadline = Math.min(source.deadlineMs(), latestEnd(dependant));
+        if (priority == source.priority() && deadline == source.deadlineMs()) {
+            return;
+        }
+        source.expect(priority, deadline);
+        for (String id : release.sources(source.id)) {
+            JobEntry before = live(id);
+            if (before != null) {
+                expect(before, source);
+            }
+        }
+    }
+
+    private static Priority highest(Priority one, Priority other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
+    /** When whatever the job awaits has to end if the job is to keep its own time. */
+    private static long latestEnd(JobEntry job) {
+        return job.deadlineMs() == JobEntry.NO_DEADLINE
+                ? JobEntry.NO_DEADLINE
+                : job.deadlineMs() - (long) (1000 * (job.job().estimateS() + STEP_S));
+    }
+
+    private void expectAnewOf(String failedJob) {
+        release.allSources(failedJob).forEach(this::expectAnew);
+    }
+
+    /** One of the jobs that need the job has gone. */
+    private void expectAnew(String id) {
+        JobEntry job = live(id);
+        if (job == null) {
+            return;
+        }
+        Priority priority = job.job().priority();
+        long deadline = job.ownDeadlineMs();
+        for (String destination : release.destinations(id)) {
+            JobEntry dependant = live(destination);
+            if (dependant != null && !release.hasFailed(destination)) {
+                priority = highest(priority, dependant.priority());
+                deadline = Math.min(deadline, latestEnd(dependant));
+            }
+        }
+        if (priority != job.priority() || deadline != job.deadlineMs()) {
+            job.expect(priority, deadline);
+            release.sources(id).forEach(this::expectAnew);
+        }
+    }
+
+    /** Looks up what became of awaited jobs, once the replica holds all that is known to be durable. */
+    void tick(boolean caughtUp) {
+        if (!caughtUp || unresolved.isEmpty() || context.now() < pausedUntil) {
+            return;
+        }
+        urgent.retainAll(unresolved);
+        Iterator<String> next = (urgent.isEmpty() ? unresolved : urgent).iterator();
+        while (next.hasNext() && reading.size() < MOST_READS) {
+            String id = next.next();
+            if (live(id) != null || replica.isHeld(id)) {
+                continue;
+            }
+            if (!reading.contains(id) && !reader.read(id, new LookUp(id))) {
+                return;
+            }
+            reading.add(id);
+        }
+    }
+
+    private final class LookUp implements FinalReader.Listener {
+        private final String id;
+
+        LookUp(String id) {
+            this.id = id;
+        }
+
+        @Override
+        public void found(FinalRecord result) {
+            // The replica has passed it on.
+            reading.remove(id);
+        }
+
+        @Override
+        public void absent() {
+            reading.remove(id);
+            pausedUntil = context.now() + READ_PAUSE_MS;
+            if (unresolved.contains(id) && live(id) == null) {
+                context.info("job " + id + " is awaited, but neither its record nor its end is there");
+            }
+        }
+
+        @Override
+        public void noAnswer() {
+            reading.remove(id);
+            pausedUntil = context.now() + READ_PAUSE_MS;
+        }
+    }
+
+    /**
+     * True if it is known of all jobs that the job needs, directly or through others, whether they are cancelled. Else
+     * they are looked up first.
+     */
+    boolean resolved(String job) {
+        if (unresolved.isEmpty()) {
+            return true;
+        }
+        boolean resolved = true;
+        Set<String> seen = new HashSet<>();
+        Deque<String> queue = new ArrayDeque<>(release.sources(job));
+        while (!queue.isEmpty()) {
+            String id = queue.poll();
+            if (!seen.add(id)) {
+                continue;
+            }
+            if (unresolved.contains(id) && live(id) == null) {
+                urgent.add(id);
+                resolved = false;
+            }
+            queue.addAll(release.sources(id));
+        }
+        return resolved;
+    }
+
+    /** True if the job is cancelled, by its own user or through a job that it needs. */
+    boolean cancelled(JobEntry job) {
+        return job.aborted() || release.hasFailed(job.id);
+    }
+
+    /** True if a job that awaits this one is there and its cancellation is not durable yet. */
+    boolean hasUnmarkedDependants(String job) {
+        for (String id : release.destinations(job)) {
+            JobEntry dependant = live(id);
+            if (dependant != null && !dependant.aborted()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/dewlane/core/FailureDetector.java
+++ b/src/main/java/dewlane/core/FailureDetector.java
@@ -81,8 +81,8 @@
         condemned.forEach((name, reason) -> context.info("machine " + name + " is " + reason + ", to be deleted with "
                 + machines.get(name).live.size() + " tasks on it"));
         List<String> names = List.copyOf(condemned.keySet());
-        for (int i = 0; i < names.size(); i += MOST_AT_ONCE) {
-            condemn(names.subList(i, Math.min(i + MOST_AT_ONCE, names.size())), condemned.get(names.get(i)));
+        for (List<String> some : MachineRecords.split(names, context.settings().valueBytes())) {
+            condemn(some, condemned.get(some.get(0)));
         }
     }
 
--- /dev/null
+++ b/src/main/java/dewlane/core/FinalReader.java
@@ -0,0 +1,68 @@
+package dewlane.core;
+
+import dewlane.core.Value.FinalRecord;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+
+/** Reads final states that the replica does not know, within a part of the state service's request rate. */
+final class FinalReader {
+    /** The part of the requests that all controllers' reads together may take. */
+    private static final double REQUEST_SHARE = 0.2;
+
+    private static final double LEAST_BURST = 5;
+
+    /** Told what a read found. */
+    interface Listener {
+        /** The job is over. */
+        void found(FinalRecord result);
+
+        /** The job has no final state: it is not over, or was never accepted. */
+        void absent();
+
+        /** The state service did not say. */
+        void noAnswer();
+    }
+
+    private record Read(String job, Listener listener) {}
+
+    private final Context context;
+    private final Replica replica;
+    private final RateLimit rate;
+    private final Long2ObjectOpenHashMap<Read> reads = new Long2ObjectOpenHashMap<>();
+    private long nextRead = 1;
+
+    FinalReader(Context context, Replica replica) {
+        this.context = context;
+        this.replica = replica;
+        Settings settings = context.settings();
+        double controllers = settings.peers().size() + 1;
+        double perS = settings.stateRps() * REQUEST_SHARE / controllers;
+        this.rate = new RateLimit(perS, Math.max(LEAST_BURST, perS));
+    }
+
+    /** Asks for a job's final state; false if that is more than the rate allows now, and then nobody is told. */
+    boolean read(String job, Listener listener) {
+        if (!rate.take(context.now())) {
+            return false;
+        }
+        long id = nextRead++;
+        reads.put(id, new Read(job, listener));
+        context.emit(new Effect.ReadValue(id, Keys.fin(job)));
+        return true;
+    }
+
+    /** Takes an answer of the state service. */
+    void answered(Input.ValueRead in) {
+        Read read = reads.remove(in.id());
+        if (read == null) {
+            return;
+        }
+        if (in.known() && in.value() == null) {
+            read.listener().absent();
+        } else if (in.known() && in.value() instanceof FinalRecord result) {
+            replica.rememberFinal(read.job(), result);
+            read.listener().found(result);
+        } else {
+            read.listener().noAnswer();
+        }
+    }
+}
--- a/src/main/java/dewlane/core/Job.java
+++ b/src/main/java/dewlane/core/Job.java
@@ -10,6 +10,7 @@
  * @param zone the only allowed zone, or null
  * @param deadlineS seconds from submission, 0 for none
  * @param acceptedMs time of day at which the job was accepted
+ * @param awaits jobs that must be done before any task of this one starts
  */
 public record Job(
         String id,
@@ -31,7 +32,54 @@
         double checkpointS,
         double saveS,
         double deadlineS,
-        long acceptedMs) {
+        long acceptedMs,
+        List<String> awaits) {
+
+    /** A job that awaits no other. */
+    public Job(
+            String id,
+            String lot,
+            String team,
+            Priority priority,
+            int tasks,
+            double cpus,
+            double gpus,
+            double memoryGb,
+            String image,
+            double imageGb,
+            List<String> types,
+            String zone,
+            boolean oneZone,
+            boolean spread,
+            boolean spot,
+            double estimateS,
+            double checkpointS,
+            double saveS,
+            double deadlineS,
+            long acceptedMs) {
+        this(
+                id,
+                lot,
+                team,
+                priority,
+                tasks,
+                cpus,
+                gpus,
+                memoryGb,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS,
+                acceptedMs,
+                List.of());
+    }
 
     /** Jobs whose tasks constrain each other's places stay in one slice. */
     public boolean placesLinked() {
@@ -81,6 +129,15 @@
 
     /** The same job with the time of its acceptance. */
     public Job withAccepted(long ms) {
+        return with(ms, awaits);
+    }
+
+    /** The same job awaiting the given jobs. */
+    public Job withAwaits(List<String> jobs) {
+        return with(acceptedMs, List.copyOf(jobs));
+    }
+
+    private Job with(long ms, List<String> jobs) {
         return new Job(
                 id,
                 lot,
@@ -101,6 +158,7 @@
                 checkpointS,
                 saveS,
                 deadlineS,
-                ms);
+                ms,
+                jobs);
     }
 }
--- a/src/main/java/dewlane/core/JobDistributor.java
+++ b/src/main/java/dewlane/core/JobDistributor.java
@@ -1,7 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Value.Deal;
 import dewlane.core.Value.Member;
 import java.util.ArrayList;
@@ -33,6 +31,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Quota quota;
+    private final Release release;
     private final Map<Asked, List<Offer>> counted = new HashMap<>();
     /** By shape, the tasks that each part has room for. */
     private final Map<Job.Shape, int[]> rooms = new HashMap<>();
@@ -40,7 +39,8 @@
     private long countedAt = Long.MIN_VALUE / 2;
     private long countedFor;
 
-    JobDistributor(Context context, Replica replica, Machines machines, Quota quota) {
+    JobDistributor(Context context, Replica replica, Machines machines, Quota quota, Release release) {
+        this.release = release;
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -48,10 +48,17 @@
     }
 
     /** What each part offers a job, the one with the most to spare first; asked again soon, it is as it was. */
-    private List<Offer> offers(Job job, Job.Shape shape) {
+    private List<Offer> offers(Job job, Asked asked) {
         keepFresh();
-        return counted.computeIfAbsent(
-                new Asked(shape, job.priority(), job.team(), waitedLong(job)), a -> count(job, shape));
+        return counted.computeIfAbsent(asked, a -> count(job, a));
+    }
+
+    private static Asked newJob(Job job) {
+        return new Asked(job.shape(), job.priority(), job.team(), false);
+    }
+
+    private Asked waiting(JobEntry job) {
+        return new Asked(job.shape(), job.priority(), job.job().team(), waitedLong(job));
     }
 
     /** Tasks of the job that each part of the map has room for. */
@@ -79,14 +86,14 @@
         }
     }
 
-    private List<Offer> count(Job job, Job.Shape shape) {
+    private List<Offer> count(Job job, Asked asked) {
         List<Member> members = replica.map().members();
-        int[] rooms = rooms(job, shape);
+        int[] rooms = rooms(job, asked.shape());
         double[] waiting = new double[members.size()];
         double[] taking = new double[members.size()];
-        boolean waitedLong = waitedLong(job);
+        boolean waitedLong = asked.waitedLong();
         for (JobEntry other : replica.jobs()) {
-            if (other.job() == null || other.aborted() || other.job().priority().compareTo(job.priority()) < 0) {
+            if (other.job() == null || !release.isReady(other.id) || other.priority().compareTo(asked.priority()) < 0) {
                 continue;
             }
             for (SliceEntry s : other.slices()) {
@@ -122,8 +129,8 @@
         return Math.max(0, Math.min(rooms(other.job(), other.shape())[part], quota.room(other.job(), node)));
     }
 
-    private boolean waitedLong(Job job) {
-        return context.wall() - job.acceptedMs() > COURTESY_MS;
+    private boolean waitedLong(JobEntry job) {
+        return context.wall() - job.waitsSinceMs() > COURTESY_MS;
     }
 
     private static int index(List<Member> members, String name) {
@@ -149,15 +156,39 @@
 
     /**
      * The slices of a new job: one if a part has room for all of it, or else as few as its room is spread over; what
-     * finds no room waits where least does.
+     * finds no room waits where least does. A slice holds no more tasks than its value can tell of at once.
      */
     List<Deal> deal(Job job) {
-        List<Offer> offers = offers(job, job.shape());
+        List<Offer> offers = offers(job, newJob(job));
         List<Deal> deals = new ArrayList<>();
         if (job.placesLinked()) {
             cut(deals, offers.get(0).node(), 0, job.tasks(), Integer.MAX_VALUE);
             return deals;
         }
+        int[] shares = shares(job, offers);
+        int most = Math.max(1, context.settings().mostSlices());
+        int perSlice = Math.min(MAX_SLICE, tasksPerSlice(job));
+        while (slices(shares, perSlice) > most && perSlice < job.tasks()) {
+            perSlice = Math.min(job.tasks(), 2 * perSlice);
+        }
+        if (slices(shares, perSlice) > most) {
+            shares = new int[] {job.tasks()};
+        }
+        int from = 0;
+        for (int i = 0; i < shares.length; i++) {
+            cut(deals, offers.get(i).node(), from, from + shares[i], perSlice);
+            from += shares[i];
+        }
+        return deals;
+    }
+
+    /** All of a job's tasks as one slice, for a record that has no room for more. */
+    List<Deal> dealWhole(Job job) {
+        return List.of(new Deal(offers(job, newJob(job)).get(0).node(), 0, job.tasks()));
+    }
+
+    /** How many tasks go to each part. */
+    private static int[] shares(Job job, List<Offer> offers) {
         int[] shares = new int[offers.size()];
         int left = job.tasks();
         for (int i = 0; i < shares.length && left > 0; i++) {
@@ -170,29 +201,43 @@
             shares[i] += share;
             left -= share;
         }
-        int from = 0;
-        for (int i = 0; i < shares.length; i++) {
-            cut(deals, offers.get(i).node(), from, from + shares[i], MAX_SLICE);
-            from += shares[i];
+        return shares;
+    }
+
+    private static int slices(int[] shares, int perSlice) {
+        int sum = 0;
+        for (int share : shares) {
+            sum += (share + perSlice - 1) / perSlice;
         }
-        if (deals.size() > context.settings().mostSlices()) {
-            deals.clear();
-            cut(deals, offers.get(0).node(), 0, job.tasks(), MAX_SLICE);
+        return sum;
+    }
+
+    /** Tasks whose attempts one value holds, on machines that are half free. */
+    private int tasksPerSlice(Job job) {
+        int fewest = Integer.MAX_VALUE;
+        for (MachineType type : machines.types()) {
+            if (job.allowsType(type.name()) && type.fits(job) > 0) {
+                fewest = Math.min(fewest, type.fits(job));
+            }
         }
-        return deals;
+        int perMachine = fewest == Integer.MAX_VALUE ? 1 : Math.max(1, fewest / 2);
+        return SliceSize.tasksWithin(context.settings().valueBytes(), perMachine);
     }
 
+    /** Cuts tasks into runs of about equal length. */
     private static void cut(List<Deal> into, String owner, int from, int to, int most) {
-        for (int at = from; at < to; ) {
-            int n = Math.min(to - at, most);
-            into.add(new Deal(owner, at, n));
-            at += n;
+        int runs = (int) (((long) to - from + most - 1) / most);
+        int at = from;
+        for (int left = runs; left > 0; left--) {
+            int count = (to - at) / left;
+            into.add(new Deal(owner, at, count));
+            at += count;
         }
     }
 
     /** The part with the most room for the job, other than the present one, or null if none has any. */
     Offer better(JobEntry job, String than) {
-        return offers(job.job(), job.shape()).stream()
+        return offers(job.job(), waiting(job)).stream()
                 .filter(o -> !o.node().equals(than) && o.room() > 0)
                 .findFirst()
                 .orElse(null);
--- a/src/main/java/dewlane/core/JobProgress.java
+++ b/src/main/java/dewlane/core/JobProgress.java
@@ -31,6 +31,9 @@
     final Set<String> failedOn = new HashSet<>();
 
     int errors;
+    /** Nothing is written before this time: a write was called invalid. */
+    long pausedUntil;
+
     long notBefore;
     long handedAt;
     /** When another part with room was last looked for. */
@@ -44,7 +47,7 @@
         return failedOn.size() >= 3;
     }
 
-    boolean busy(long revision) {
-        return writing || revision < settled;
+    boolean busy(long revision, long now) {
+        return writing || revision < settled || now < pausedUntil;
     }
 }
--- /dev/null
+++ b/src/main/java/dewlane/core/JobUpdate.java
@@ -0,0 +1,146 @@
+package dewlane.core;
+
+import dewlane.core.Value.Slice;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One write about a job while it is put together: what becomes of its slices, which tasks are launched on which
+ * machines, all within the changes and conditions that a transaction may have.
+ */
+final class JobUpdate {
+    /** Conditions on the job and the map. */
+    private static final int FIXED_GUARDS = 2;
+
+    final JobEntry job;
+    final JobProgress work;
+    final List<JobProgress.Launch> launched = new ArrayList<>();
+    private final Map<SliceEntry, Slice> changed = new LinkedHashMap<>();
+    /** New slices by their numbers. */
+    private final Map<Integer, Slice> created = new LinkedHashMap<>();
+    /** Slices that stay as they are, but on which the write depends. */
+    private final Set<SliceEntry> unchanged = new HashSet<>();
+
+    private final Set<String> machines = new HashSet<>();
+    private final int mostOps;
+    private final int mostGuards;
+    private int nextNumber;
+    /** True if the write holds only as long as the job and the map are as they are. */
+    private boolean bound;
+
+    /** With the room that a transaction leaves for slices and machines. */
+    JobUpdate(JobEntry job, JobProgress work, int mostOps, int mostGuards) {
+        this.job = job;
+        this.work = work;
+        this.mostOps = mostOps;
+        this.mostGuards = mostGuards;
+        this.nextNumber = job.nextSlice();
+    }
+
+    /** The slice as this write leaves it. */
+    Slice value(SliceEntry slice) {
+        return changed.getOrDefault(slice, slice.value());
+    }
+
+    void put(SliceEntry slice, Slice value) {
+        changed.put(slice, value);
+    }
+
+    void create(Slice slice) {
+        created.put(nextNumber++, slice);
+        bound = true;
+    }
+
+    /** The write depends on a slice that it leaves as it is. */
+    void dependOn(SliceEntry slice) {
+        unchanged.add(slice);
+        bound = true;
+    }
+
+    /** The write holds only under the present map and as long as the job is as it is. */
+    void bind() {
+        bound = true;
+    }
+
+    void launch(JobProgress.Launch launch) {
+        launched.add(launch);
+        machines.add(launch.machine().name);
+        bound = true;
+    }
+
+    Map<SliceEntry, Slice> changed() {
+        return changed;
+    }
+
+    boolean isEmpty() {
+        return changed.isEmpty() && created.isEmpty();
+    }
+
+    boolean uses(Machine machine) {
+        return machines.contains(machine.name);
+    }
+
+    boolean usesNoMachine() {
+        return machines.isEmpty();
+    }
+
+    /** How many more slices this write may change or create. */
+    int opsLeft() {
+        return mostOps - changed.size() - created.size();
+    }
+
+    /** True if a slice may be changed: it is already, or there is room for one more change. */
+    boolean mayChange(SliceEntry slice) {
+        return changed.containsKey(slice) || opsLeft() > 0;
+    }
+
+    /** True if the write may depend on one more machine, besides a slice that is about to be changed. */
+    boolean hasRoomForMachine() {
+        int guards =
+                FIXED_GUARDS + changed.size() + created.size() + unchanged.size() + machines.size() + 1;
+        return guards < mostGuards;
+    }
+
+    /** Leaves out what goes beyond the changes of a transaction; it follows in the next write. */
+    void trim() {
+        int kept = 0;
+        for (Iterator<SliceEntry> i = changed.keySet().iterator(); i.hasNext(); ) {
+            i.next();
+            if (++kept > mostOps) {
+                i.remove();
+            }
+        }
+    }
+
+    boolean noneLive() {
+        return job.slices().stream().allMatch(s -> value(s).attempts().isEmpty());
+    }
+
+    boolean allDone() {
+        int done = 0;
+        for (SliceEntry s : job.slices()) {
+            done += value(s).done().cardinality();
+        }
+        return done == job.job().tasks();
+    }
+
+    /** Writes the slices, on condition that they, and what the launches rest on, are as they were. */
+    void write(Transaction.Builder txn, long mapVersion) {
+        changed.forEach((slice, value) -> txn.when(slice.key, slice.version()).set(slice.key, value));
+        unchanged.forEach(slice -> txn.when(slice.key, slice.version()));
+        created.forEach((number, value) -> {
+            String key = Keys.slice(job.id, number);
+            txn.when(key, 0).set(key, value);
+        });
+        if (bound) {
+            // A cancelled job, a slice dealt anew, a machine being returned or a newer map each stop a launch here.
+            txn.when(Keys.job(job.id), job.version()).when(Keys.MAP, mapVersion);
+            machines.forEach(name -> txn.when(Keys.machine(name), 0));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/JobWriter.java
@@ -0,0 +1,282 @@
+package dewlane.core;
+
+import dewlane.core.JobProgress.Outcome;
+import dewlane.core.Machine.Key;
+import dewlane.core.Value.Slice;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+/**
+ * Makes durable what is to be said of a job: outcomes of attempts on the machines of this part, launches, hand-overs, its
+ * end, and a cancellation that passed down to it. Per job one write is under way at a time; it holds all that is to be
+ * said and fits.
+ *
+ * <p>Writes are built when they can be sent: while the rate of changes is short, what is to be said of a job gathers,
+ * and one change says more.
+ */
+final class JobWriter {
+    /** How long outcomes gather, and how long while the rate of changes is short. */
+    private static final long GATHER_MS = 1000;
+
+    private static final long GATHER_SCARCE_MS = 5000;
+    /** The same where the team's limit is lent by what is durable. */
+    private static final long GATHER_LENT_MS = 3000;
+    /** How long a job rests after a write about it was called invalid. */
+    private static final long INVALID_PAUSE_MS = 2000;
+    /** No slice with fewer attempts and done marks is near the size that a value may have. */
+    private static final int LEAST_BYTES_EACH = 64;
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final TransactionQueue transactions;
+    private final Dependencies dependencies;
+    private final Quota quota;
+    private final LaunchPlanner planner;
+    private final Cancellations cancellations;
+    private final Counters counters;
+    private final ValueSize size;
+    private final String self;
+
+    JobWriter(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            Dependencies dependencies,
+            Quota quota,
+            LaunchPlanner planner,
+            Cancellations cancellations,
+            Counters counters,
+            ValueSize size) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.transactions = transactions;
+        this.dependencies = dependencies;
+        this.quota = quota;
+        this.planner = planner;
+        this.cancellations = cancellations;
+        this.counters = counters;
+        this.size = size;
+        this.self = context.settings().node();
+    }
+
+    /** Writes what there is to say of a job; launches only if allowed. */
+    void step(JobEntry job, boolean launches) {
+        JobProgress work = machines.work(job.id);
+        if (work.busy(replica.revision(), context.now())
+                || replica.isHeld(job.id)
+                || !transactions.open(TransactionQueue.Urgency.OUTCOME)) {
+            return;
+        }
+        if (!job.aborted() && dependencies.cancelled(job)) {
+            passCancellation(job, work);
+            return;
+        }
+        Settings settings = context.settings();
+        int reserved = quota.lends(job.job()) ? 1 : 0;
+        JobUpdate update = new JobUpdate(job, work, settings.txnOps() - reserved, settings.txnGuards() - reserved);
+        applyOutcomes(update);
+        if ((job.aborted() ? update.noneLive() : update.allDone()) && end(update)) {
+            return;
+        }
+        update.trim();
+        boolean decided = cutLargeSlices(update);
+        if (!decided
+                && !cancellations.ended(job)
+                && launches
+                && context.now() >= work.notBefore
+                && transactions.open(TransactionQueue.Urgency.LAUNCH)) {
+            decided = planner.plan(update);
+        }
+        if (!update.isEmpty() && (decided || !mayGather(update))) {
+            Transaction.Builder txn = new Transaction.Builder();
+            update.write(txn, replica.mapVersion());
+            if (!update.launched.isEmpty()) {
+                quota.guard(txn, job.job());
+            }
+            write(update, txn);
+        }
+    }
+
+    private void applyOutcomes(JobUpdate update) {
+        for (SliceEntry slice : update.job.slices()) {
+            Slice after = applyOutcomes(update.job, slice.value(), update.work);
+            if (after != slice.value()) {
+                update.put(slice, after);
+            }
+        }
+    }
+
+    private Slice applyOutcomes(JobEntry job, Slice slice, JobProgress work) {
+        if (work.outcomes.isEmpty() || slice.attempts().isEmpty()) {
+            return slice;
+        }
+        BitSet done = slice.done();
+        List<Attempt> left = new ArrayList<>();
+        for (Attempt a : slice.attempts()) {
+            Outcome outcome = work.outcomes.get(new Key(job.id, a.task(), a.number()));
+            if (outcome == null) {
+                left.add(a);
+            } else if (outcome == Outcome.DONE) {
+                done = done == slice.done() ? (BitSet) done.clone() : done;
+                done.set(a.task() - slice.first());
+            }
+        }
+        return left.size() == slice.attempts().size()
+                ? slice
+                : slice.withOutcomes(done, left);
+    }
+
+    /**
+     * Brings slices that were stored under larger limits within the present ones. A slice that a few pieces hold is cut
+     * at once. One that needs more is cut by new slices for its last tasks, group by group, while it keeps its stored
+     * value until the rest fits: see {@link Replica}. Version 0.1 would not understand that, so while it may run, the
+     * slice's own value shrinks piece by piece, above the coming limit but below what is stored.
+     *
+     * @return true if something is cut and has to be written
+     */
+    private boolean cutLargeSlices(JobUpdate update) {
+        boolean cut = false;
+        for (SliceEntry slice : update.job.slices()) {
+            Slice value = update.value(slice);
+            boolean mine = self.equals(Partitions.owner(replica.map(), slice.key, value));
+            if (mayBeLarge(value) && (mine || update.changed().containsKey(slice))) {
+                List<Slice> pieces =
+                        SliceSplitter.split(value, context.settings().valueBytes());
+                cut |= pieces.size() > 1 && cut(update, slice, value, pieces, mine);
+            }
+        }
+        return cut;
+    }
+
+    private boolean mayBeLarge(Slice slice) {
+        int marks = slice.attempts().size() + slice.done().cardinality();
+        return marks * LEAST_BYTES_EACH > context.settings().valueBytes();
+    }
+
+    private boolean cut(JobUpdate update, SliceEntry slice, Slice value, List<Slice> pieces, boolean mine) {
+        update.changed().remove(slice);
+        int room = update.opsLeft();
+        if (pieces.size() <= room) {
+            update.put(slice, pieces.get(0));
+            pieces.subList(1, pieces.size()).forEach(update::create);
+        } else if (mine && (membership.allUpgraded() || transactions.sizeWasRefused())) {
+            // What is taken over must be in no launch that is still on its way: the owner alone does this, under the
+            // map.
+            pieces.subList(pieces.size() - room, pieces.size()).forEach(update::create);
+            update.dependOn(slice);
+        } else if (room >= 2) {
+            List<Slice> last = pieces.subList(pieces.size() - room + 1, pieces.size());
+            update.put(slice, value.part(0, last.get(0).first() - value.first()));
+            last.forEach(update::create);
+        } else {
+            return false;
+        }
+        context.info("cutting " + slice.key + ", which is larger than values may be, into " + pieces.size());
+        return true;
+    }
+
+    /**
+     * Outcomes of tasks whose slice has others running can wait for more, as each change is read by every controller:
+     * the room of what ended is free already. Not so under a limit that is lent by what is durable.
+     */
+    private boolean mayGather(JobUpdate update) {
+        JobProgress work = update.work;
+        boolean lent = quota.lends(update.job.job());
+        long most = transactions.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
+        return context.now() - work.outcomesSince < most
+                && work.outcomes.values().stream().allMatch(o -> o == Outcome.DONE)
+                && update.changed().values().stream().anyMatch(s -> !s.attempts().isEmpty());
+    }
+
+    /** Where several controllers made the last outcomes durable, one of them ends the job, so that they do not race. */
+    private boolean ends(JobEntry job) {
+        return self.equals(Partitions.owner(replica.map(), Keys.job(job.id)))
+                || job.slices().size() > context.settings().mostSlices();
+    }
+
+    /**
+     * Ends a job: its final state is written and its record removed by one transaction. All that this rests on is
+     * durable or in the conditions, and never becomes untrue: done marks stay, and no launch follows a cancellation.
+     * Slices beyond what the transaction holds are left over and deleted later.
+     *
+     * @return false if this is not to be done now, or not by this controller
+     */
+    private boolean end(JobUpdate update) {
+        JobEntry job = update.job;
+        if (update.changed().isEmpty() && !ends(job)) {
+            return true;
+        }
+        Settings settings = context.settings();
+        // A cancellation passes down first: who awaits the job is looked up by its record as long as that is there.
+        if (update.changed().size() >= settings.txnGuards()
+                || job.aborted() && dependencies.hasUnmarkedDependants(job.id)) {
+            return false;
+        }
+        Transaction.Builder txn = new Transaction.Builder().when(Keys.job(job.id), job.version());
+        update.changed().keySet().forEach(slice -> txn.when(slice.key, slice.version()));
+        if (!job.aborted()) {
+            txn.set(Keys.fin(job.id), new Value.FinalRecord(false, context.wall()));
+        }
+        txn.delete(Keys.job(job.id));
+        for (SliceEntry slice : job.slices()) {
+            if (slice.version() != 0
+                    && txn.writes() < settings.txnOps()
+                    && txn.guards() < settings.txnGuards()) {
+                txn.when(slice.key, slice.version()).delete(slice.key);
+            }
+        }
+        write(update, txn);
+        return true;
+    }
+
+    /**
+     * Makes a cancellation durable that passed down from a job that this one awaits. The job never had a task, so its
+     * end is written at once.
+     */
+    private void passCancellation(JobEntry job, JobProgress work) {
+        if (!ends(job)) {
+            return;
+        }
+        Value.FinalRecord result = new Value.FinalRecord(true, context.wall());
+        Transaction.Builder txn = new Transaction.Builder().when(Keys.job(job.id), job.version());
+        txn.set(Keys.fin(job.id), result);
+        if (job.live() == 0 && !dependencies.hasUnmarkedDependants(job.id)) {
+            txn.delete(Keys.job(job.id));
+        } else {
+            Value.JobRecord marked = job.record().cancelled(context.wall(), true);
+            boolean fits = size.bytes(marked) <= context.settings().valueBytes();
+            txn.set(Keys.job(job.id), fits ? marked : job.record().cancelled(context.wall(), false));
+        }
+        write(new JobUpdate(job, work, 0, 0), txn);
+    }
+
+    private void write(JobUpdate update, Transaction.Builder txn) {
+        JobProgress work = update.work;
+        work.writing = true;
+        // What comes from now on gathers anew: the outcomes of this write stay listed until the replica shows them.
+        work.outcomesSince = context.now();
+        Job spec = update.job.job();
+        int launched = update.launched.size();
+        TransactionQueue.Urgency urgency =
+                launched > 0 ? TransactionQueue.Urgency.LAUNCH : TransactionQueue.Urgency.OUTCOME;
+        transactions.submit(urgency, txn.build(), (status, revision) -> {
+            work.writing = false;
+            work.settled = revision;
+            if (status == Transaction.Status.COMMITTED) {
+                counters.launched += launched;
+            } else if (status == Transaction.Status.INVALID) {
+                work.pausedUntil = context.now() + INVALID_PAUSE_MS;
+            }
+            if (launched > 0) {
+                quota.answered(spec, revision);
+            }
+        });
+    }
+}
--- a/src/main/java/dewlane/core/Keys.java
+++ b/src/main/java/dewlane/core/Keys.java
@@ -19,6 +19,18 @@
 
     private Keys() {}
 
+    /** True if this version knows what the key is for. */
+    public static boolean known(String key) {
+        return key != null
+                && (key.startsWith(JOBS)
+                        || key.startsWith(SLICES)
+                        || key.startsWith(FINALS)
+                        || key.startsWith(MACHINES)
+                        || key.startsWith(PRESENCE)
+                        || key.startsWith(TEAMS)
+                        || key.equals(MAP));
+    }
+
     /** The key of a job that is not over. */
     public static String job(String id) {
         return JOBS + id;
--- /dev/null
+++ b/src/main/java/dewlane/core/LaunchPlanner.java
@@ -0,0 +1,235 @@
+package dewlane.core;
+
+import dewlane.core.Value.Slice;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Plans launches of a job's waiting tasks on the machines of this part, hands tasks on to parts with room, and has room
+ * made by preemption where neither helps.
+ */
+final class LaunchPlanner {
+    /** How often a waiting job looks for room in other parts. */
+    private static final long LOOK_MS = 400;
+    /** How long after it was handed on a job stays where it is. */
+    private static final long HANDED_MS = 2000;
+    /** Attempts in one write, which must stay below 64 KiB; the rest follows in the next. */
+    private static final int MOST_ATTEMPTS = 900;
+
+    /**
+     * A slice's attempts after a launch.
+     *
+     * @param writeFull true if the write or the slice holds no more, though there may be machines for it
+     */
+    private record Placed(List<Attempt> live, boolean writeFull) {}
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Quota quota;
+    private final JobDistributor distributor;
+    private final Counters counters;
+    private final Preemption preemption;
+    private final Candidates candidates;
+    private final String self;
+    /** Shapes for which this pass found no room. */
+    private final Set<Job.Shape> full = new HashSet<>();
+
+    LaunchPlanner(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Quota quota,
+            JobDistributor distributor,
+            Counters counters) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.quota = quota;
+        this.distributor = distributor;
+        this.counters = counters;
+        this.preemption = new Preemption(context, machines, quota);
+        this.candidates = new Candidates(context, machines, counters);
+        this.self = context.settings().node();
+    }
+
+    /** Begins a pass over all jobs. */
+    void begin(List<Machine> usable, List<Machine> free, Set<String> guaranteed) {
+        full.clear();
+        candidates.begin(free);
+        preemption.begin(usable, guaranteed);
+    }
+
+    /** True if something is to be written: launches, or tasks handed to another part. */
+    boolean plan(JobUpdate update) {
+        JobEntry job = update.job;
+        if (quota.busy(job.job())) {
+            return false;
+        }
+        boolean anyHanded = false;
+        int attempts = attemptsIn(update);
+        for (SliceEntry slice : job.slices()) {
+            Slice value = update.value(slice);
+            int room = MOST_ATTEMPTS - attempts;
+            if (room <= 0) {
+                break;
+            }
+            if (value.waiting() > 0 && owns(slice, value) && update.mayChange(slice)) {
+                anyHanded |= planSlice(update, slice, room);
+                attempts += update.value(slice).attempts().size();
+            }
+        }
+        if (update.launched.isEmpty() && !anyHanded) {
+            return false;
+        }
+        update.bind();
+        return true;
+    }
+
+    private static int attemptsIn(JobUpdate update) {
+        int sum = 0;
+        for (Slice slice : update.changed().values()) {
+            sum += slice.attempts().size();
+        }
+        return sum;
+    }
+
+    private boolean owns(SliceEntry slice, Slice value) {
+        return self.equals(Partitions.owner(replica.map(), slice.key, value));
+    }
+
+    /** Plans launches of one slice; true if tasks of it are handed on instead. */
+    private boolean planSlice(JobUpdate update, SliceEntry slice, int room) {
+        JobEntry job = update.job;
+        Job spec = job.job();
+        Slice value = update.value(slice);
+        boolean noneBefore = update.usesNoMachine();
+        List<Candidate> found = full.contains(job.shape()) ? List.of() : candidates.of(job);
+        int most = Math.min(value.waiting(), Math.min(room, quota.room(spec)));
+        Placed placed = place(update, slice, value, found, most);
+        List<Attempt> live = placed.live();
+        int launched = live.size() - value.attempts().size();
+        int unplaced = value.waiting() - launched;
+        boolean stuck = unplaced > 0 && launched < most && !placed.writeFull();
+        if (stuck && noneBefore && launched == 0 && !spec.placesLinked() && update.work.errors == 0) {
+            // Room only shrinks during a pass, so further jobs of the shape need not look for it.
+            full.add(job.shape());
+        }
+        boolean handed = false;
+        if (launched > 0) {
+            update.put(slice, value.withLaunch(self, live));
+        } else if (update.launched.isEmpty() && unplaced > 0 && quota.spare(spec)) {
+            handed = handOver(update, slice, value);
+        }
+        if (stuck && !handed) {
+            preemption.makeRoom(job, Math.min(unplaced, quota.room(spec)));
+        }
+        return handed;
+    }
+
+    /** The slice's attempts with up to {@code most} new ones on the cheapest machines. */
+    private Placed place(JobUpdate update, SliceEntry slice, Slice value, List<Candidate> found, int most) {
+        Job spec = update.job.job();
+        List<Attempt> live = new ArrayList<>(value.attempts());
+        Map<String, Integer> zones = spec.placesLinked() ? zonesOf(live) : Map.of();
+        if (most <= 0 || found.isEmpty() || zones == null) {
+            return new Placed(live, false);
+        }
+        SliceSize size = new SliceSize(value);
+        BitSet taken = value.taken();
+        int offset = taken.nextClearBit(0);
+        int left = most;
+        for (Candidate candidate : found) {
+            Machine m = candidate.machine();
+            if (left <= 0) {
+                break;
+            }
+            if (!update.uses(m) && !update.hasRoomForMachine()) {
+                return new Placed(live, true);
+            }
+            int here = Math.min(left, m.room(machines.type(m), spec));
+            while (here-- > 0 && zoneAllowed(spec, zones, m.zone)) {
+                Attempt a = new Attempt(
+                        value.first() + offset, value.launches() + 1, m.name, m.session, m.token(), context.wall());
+                if (!size.fits(a, context.settings().valueBytes())) {
+                    return new Placed(live, true);
+                }
+                size.add(a);
+                live.add(a);
+                JobProgress.Launch launch = new JobProgress.Launch(m, a, slice.number, spec);
+                update.launch(launch);
+                machines.launching(update.job, launch);
+                if (spec.placesLinked()) {
+                    zones.merge(m.zone, 1, Integer::sum);
+                }
+                offset = taken.nextClearBit(offset + 1);
+                left--;
+            }
+        }
+        return new Placed(live, false);
+    }
+
+    /**
+     * Hands waiting tasks to a part with room: the whole slice if nothing of it is on a machine and all of it finds
+     * room, or else as many of its last tasks as wait there and find room, as a slice of their own. What is on a
+     * machine never changes hands this way, as it counts against the share of its team's limit that this controller
+     * has.
+     */
+    private boolean handOver(JobUpdate update, SliceEntry slice, Slice value) {
+        JobProgress work = update.work;
+        Job spec = update.job.job();
+        if (context.now() - work.handedAt < HANDED_MS || context.now() - work.lookedAt < LOOK_MS) {
+            return false;
+        }
+        work.lookedAt = context.now();
+        JobDistributor.Offer to = distributor.better(update.job, self);
+        if (to == null) {
+            return false;
+        }
+        int tail = value.count() - value.taken().length();
+        int moved = spec.placesLinked() ? value.count() : Math.min(tail, to.room());
+        // Tasks that wait before others that are done can only go with the whole slice, or they would wait here for
+        // ever.
+        if (value.attempts().isEmpty() && (moved == value.count() || tail == 0)) {
+            update.put(slice, value.withOwner(to.node()));
+        } else if (moved > 0
+                && moved < value.count()
+                && update.opsLeft() >= 2
+                && update.job.slices().size() < context.settings().mostSlices()) {
+            int kept = value.count() - moved;
+            update.put(slice, value.part(0, kept));
+            update.create(value.part(kept, moved).withOwner(to.node()));
+        } else {
+            return false;
+        }
+        work.handedAt = context.now();
+        counters.handed++;
+        context.debug("handing tasks of " + slice.key + " to " + to.node());
+        return true;
+    }
+
+    /** Live tasks a zone, or null if the zone of one is not known. */
+    private Map<String, Integer> zonesOf(List<Attempt> live) {
+        Map<String, Integer> zones = new HashMap<>();
+        for (Attempt a : live) {
+            Machine m = machines.get(a.machine());
+            if (m == null || m.zone == null) {
+                return null;
+            }
+            zones.merge(m.zone, 1, Integer::sum);
+        }
+        return zones;
+    }
+
+    private static boolean zoneAllowed(Job spec, Map<String, Integer> zones, String zone) {
+        if (spec.oneZone() && !zones.isEmpty() && !zones.containsKey(zone)) {
+            return false;
+        }
+        return !spec.spread() || zones.getOrDefault(zone, 0) < (spec.tasks() + 1) / 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/LeftoverCleaner.java
@@ -0,0 +1,49 @@
+package dewlane.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Deletes what is left of jobs that are over. A job with many slices ends by one transaction that removes its record;
+ * slices that do not fit into it are deleted afterwards, by whoever is there then.
+ */
+final class LeftoverCleaner {
+    private final Context context;
+    private final Replica replica;
+    private final TransactionQueue transactions;
+    /** Jobs with a deletion under way, or whose answer the replica has not reached, and the revision of that. */
+    private final Map<String, Long> settledAt = new HashMap<>();
+
+    LeftoverCleaner(Context context, Replica replica, TransactionQueue transactions) {
+        this.context = context;
+        this.replica = replica;
+        this.transactions = transactions;
+    }
+
+    /** Deletes slices of this controller's share of such jobs, as far as the rate of changes allows. */
+    void pass() {
+        settledAt.values().removeIf(revision -> revision <= replica.revision());
+        for (JobEntry job : replica.leftovers()) {
+            if (!transactions.open(TransactionQueue.Urgency.LATER)) {
+                return;
+            }
+            boolean mine = context.settings().node().equals(Partitions.owner(replica.map(), Keys.job(job.id)));
+            if (mine && !settledAt.containsKey(job.id) && !replica.isHeld(job.id)) {
+                delete(job);
+            }
+        }
+    }
+
+    /** On condition that the job has no record: without one, nothing of it can be launched or become undone. */
+    private void delete(JobEntry job) {
+        Transaction.Builder txn = new Transaction.Builder().when(Keys.job(job.id), 0);
+        for (SliceEntry slice : job.slices()) {
+            if (txn.writes() < context.settings().txnOps()) {
+                txn.when(slice.key, slice.version()).delete(slice.key);
+            }
+        }
+        settledAt.put(job.id, Long.MAX_VALUE);
+        transactions.submit(
+                TransactionQueue.Urgency.LATER, txn.build(), (status, revision) -> settledAt.put(job.id, revision));
+    }
+}
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -1,7 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import it.unimi.dsi.fastutil.objects.Object2DoubleLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.HashMap;
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -1,8 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Replica.Delta;
-import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Value.ClusterMap;
 import dewlane.core.Value.Slice;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
@@ -303,7 +301,7 @@
         for (Iterator<String> i = settling.iterator(); i.hasNext(); ) {
             String id = i.next();
             JobProgress work = works.get(id);
-            if (work != null && work.busy(replica.revision())) {
+            if (work != null && work.busy(replica.revision(), Long.MAX_VALUE)) {
                 continue;
             }
             i.remove();
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -33,7 +33,11 @@
     private final Replica replica;
     private final Machines machines;
     private final TransactionQueue transactions;
+    private final ValueSize size;
     private final String self;
+    /** Controllers that have shown, since this one started, that they know the present form of stored values. */
+    private final Set<String> upgraded = new HashSet<>();
+
     private final Map<String, Long> missingSince = new HashMap<>();
     private final Set<String> claims = new HashSet<>();
     /** What is to be lent with the next map: a share's change for this controller and its opposite for another. */
@@ -51,7 +55,9 @@
     private long newerSince;
     private long claimedAt = Long.MIN_VALUE / 2;
 
-    Membership(Context context, Replica replica, Machines machines, TransactionQueue transactions) {
+    Membership(
+            Context context, Replica replica, Machines machines, TransactionQueue transactions, ValueSize size) {
+        this.size = size;
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -107,6 +113,30 @@
         }
     }
 
+    /**
+     * True if every controller of the deployment has shown that it knows the present form of stored values. One that is
+     * down counts as older until it has: it may come back as it was.
+     */
+    boolean allUpgraded() {
+        noteFormats();
+        return upgraded.containsAll(context.settings().peers());
+    }
+
+    /** True if a controller of an older version is running. */
+    boolean olderVersionRuns() {
+        return replica.presences().values().stream().anyMatch(p -> p.format() < StoredFormat.CURRENT);
+    }
+
+    private void noteFormats() {
+        replica.presences().forEach((name, presence) -> {
+            if (presence.format() >= StoredFormat.CURRENT) {
+                upgraded.add(name);
+            } else {
+                upgraded.remove(name);
+            }
+        });
+    }
+
     boolean leads() {
         return joined() && self.equals(Partitions.leader(replica.map()));
     }
@@ -142,6 +172,7 @@
             touchedAt = now;
             context.emit(new Effect.TouchLease(lease));
         }
+        noteFormats();
         if (loaded && lease != 0 && !writing && replica.revision() >= writtenAt) {
             if (!joined()) {
                 join();
@@ -235,10 +266,17 @@
             loans.add(had == null ? l : new Loan(l.team(), l.node(), had.cpus() + l.cpus(), had.gpus() + l.gpus()));
         }
         lending.clear();
+        ClusterMap lent =
+                new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans), map.unknown());
+        if (!fits(lent)) {
+            // Equal shares take no room: whoever needs more borrows anew.
+            context.info("the map has no room for another loan, shares of teams' limits are equal again");
+            lent = shrunk(new ClusterMap(lent.epoch(), lent.members(), lent.moved(), List.of(), lent.unknown()));
+        }
         write(
                 new Transaction.Builder()
                         .when(Keys.MAP, replica.mapVersion())
-                        .set(Keys.MAP, new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans)))
+                        .set(Keys.MAP, lent)
                         .build(),
                 joinedAs);
     }
@@ -274,11 +312,37 @@
         }
         // Shares are of as many controllers as there are.
         boolean same = replica.map() != null && members.equals(replica.map().members());
-        return new ClusterMap(
+        return shrunk(new ClusterMap(
                 epoch,
                 List.copyOf(members),
                 Map.copyOf(moved),
-                same ? replica.map().loans() : List.of());
+                same ? replica.map().loans() : List.of(),
+                replica.map() == null ? UnknownFields.NONE : replica.map().unknown()));
+    }
+
+    private boolean fits(ClusterMap map) {
+        return size.bytes(map) <= context.settings().valueBytes();
+    }
+
+    /**
+     * The map with as many moved machines as its value has room for. A machine that is dropped falls back to its part by
+     * hash, and is moved again if it still cannot reach that; loans go before the last of them.
+     */
+    private ClusterMap shrunk(ClusterMap map) {
+        ClusterMap fitting = map;
+        while (!fits(fitting) && !(fitting.moved().isEmpty() && fitting.loans().isEmpty())) {
+            Map<String, String> half = new HashMap<>();
+            fitting.moved().entrySet().stream()
+                    .limit(fitting.moved().size() / 2)
+                    .forEach(e -> half.put(e.getKey(), e.getValue()));
+            fitting = new ClusterMap(
+                    map.epoch(),
+                    map.members(),
+                    Map.copyOf(half),
+                    half.isEmpty() ? List.of() : fitting.loans(),
+                    map.unknown());
+        }
+        return fitting;
     }
 
     private void write(Transaction txn, long incarnation) {
--- a/src/main/java/dewlane/core/OrderPlanner.java
+++ b/src/main/java/dewlane/core/OrderPlanner.java
@@ -2,8 +2,6 @@
 
 import dewlane.core.Machine.Key;
 import dewlane.core.Machine.Live;
-import dewlane.core.Replica.JobEntry;
-import dewlane.core.Replica.SliceEntry;
 import dewlane.core.Report.Phase;
 import dewlane.core.Report.TaskState;
 import java.util.ArrayList;
@@ -101,6 +99,9 @@
 
     /** An attempt on the machine that the replica does not hold against it. */
     private void settle(Machine m, Key key, TaskState t, List<Key> forget, List<Key> strangers) {
+        if (replica.isHeld(key.job())) {
+            return;
+        }
         JobEntry job = replica.job(key.job());
         SliceEntry slice = job == null ? null : job.sliceOf(key.task());
         boolean settled = slice != null ? slice.value().launches() >= key.number() : replica.fin(key.job()) != null;
--- a/src/main/java/dewlane/core/Preemption.java
+++ b/src/main/java/dewlane/core/Preemption.java
@@ -74,12 +74,12 @@
     }
 
     /** Keeps room for up to the given number of tasks, and stops what may be stopped for the rest. */
-    void makeRoom(Replica.JobEntry job, int tasks) {
+    void makeRoom(JobEntry job, int tasks) {
         Job spec = job.job();
-        if (tasks < 1 || spec.placesLinked() || ageS(spec) < patienceS(job)) {
+        if (tasks < 1 || spec.placesLinked() || ageS(job) < patienceS(job)) {
             return;
         }
-        Claim claim = new Claim(job.shape(), spec.priority(), guaranteed.contains(job.id), spec.team());
+        Claim claim = new Claim(job.shape(), job.priority(), guaranteed.contains(job.id), spec.team());
         if (hopeless.contains(claim)) {
             return;
         }
@@ -112,7 +112,7 @@
     }
 
     /** What it costs to make room for one more task on the machine. */
-    private void offer(Machine m, Replica.JobEntry job, PriorityQueue<Offer> offers) {
+    private void offer(Machine m, JobEntry job, PriorityQueue<Offer> offers) {
         Job spec = job.job();
         MachineType type = machines.type(m);
         if (!spec.allows(m.type, m.zone, m.spot) || !type.holds(job.shape())) {
@@ -124,26 +124,27 @@
         }
     }
 
-    private double ageS(Job job) {
-        return (context.wall() - job.acceptedMs()) / 1000.0;
+    /** Seconds for which the job has been waiting or running; not those in which it awaited others. */
+    private double ageS(JobEntry job) {
+        return (context.wall() - job.waitsSinceMs()) / 1000.0;
     }
 
     /** How long the job waits before it stops others, by what its users expect of its start and end. */
-    private double patienceS(Replica.JobEntry entry) {
+    private double patienceS(JobEntry entry) {
         Job job = entry.job();
         Settings aims = context.settings();
         double may = Math.min(aims.within("wait", job.lot()), aims.within("finished", job.lot()));
         if (guaranteed.contains(entry.id)) {
             may = Math.min(may, aims.within("guarantee", job.lot()));
         }
-        if (job.deadlineS() > 0) {
-            may = Math.min(may, job.deadlineS() - job.estimateS());
+        if (entry.deadlineMs() != JobEntry.NO_DEADLINE) {
+            may = Math.min(may, (entry.deadlineMs() - entry.waitsSinceMs()) / 1000.0 - job.estimateS());
         }
         return Math.min(30, Math.max(1, PATIENCE * may));
     }
 
     /** The tasks whose stop costs least and makes room on the machine, or null. */
-    private List<Live> victims(Machine m, MachineType type, Replica.JobEntry job) {
+    private List<Live> victims(Machine m, MachineType type, JobEntry job) {
         List<Live> may = new ArrayList<>();
         for (Live l : m.live.values()) {
             if (!l.over && !m.stops.containsKey(l.key) && m.reported.containsKey(l.key) && mayStop(l, job)) {
@@ -163,12 +164,12 @@
         return null;
     }
 
-    private boolean mayStop(Live l, Replica.JobEntry job) {
+    private boolean mayStop(Live l, JobEntry job) {
         Job theirs = l.job.job();
-        if (l.job.aborted() || ageS(theirs) > SPARE * context.settings().within("finished", theirs.lot())) {
+        if (l.job.aborted() || ageS(l.job) > SPARE * context.settings().within("finished", theirs.lot())) {
             return false;
         }
-        if (theirs.priority().compareTo(job.job().priority()) < 0) {
+        if (l.job.priority().compareTo(job.priority()) < 0) {
             return true;
         }
         return guaranteed.contains(job.id)
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -1,6 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Replica.JobEntry;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -83,7 +82,7 @@
     /** How many more tasks of the job this controller may start under the team's limit; none for an unknown team. */
     int room(Job job) {
         Settings.Team team = team(job);
-        if (team == null) {
+        if (team == null || limited(job) && mayUseMore(job.team())) {
             return 0;
         }
         return limited(job) && shared(team)
@@ -91,6 +90,17 @@
                 : machines.use(job.team()).room(team, job);
     }
 
+    /** True if something is stored that cannot be read and may tell of further tasks of the team. */
+    private boolean mayUseMore(String team) {
+        for (String id : replica.held()) {
+            JobEntry job = replica.job(id);
+            if (job == null || job.job() == null || job.job().team().equals(team)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private int roomInShare(Settings.Team team, Job job) {
         double othersCpus = 0;
         double othersGpus = 0;
@@ -153,7 +163,7 @@
             for (JobEntry entry : ready) {
                 Job job = entry.job();
                 Settings.Team team = team(job);
-                if (team != null && (team.cpus() > 0 || team.gpus() > 0) && (job.priority() == Priority.IDLE) == idle) {
+                if (team != null && (team.cpus() > 0 || team.gpus() > 0) && (entry.priority() == Priority.IDLE) == idle) {
                     double[] sum = sums.computeIfAbsent(team.name(), t -> new double[2]);
                     sum[0] += job.tasks() * job.cpus();
                     sum[1] += job.tasks() * job.gpus();
--- a/src/main/java/dewlane/core/QuotaRebalancer.java
+++ b/src/main/java/dewlane/core/QuotaRebalancer.java
@@ -1,6 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Replica.JobEntry;
 import dewlane.core.Value.Member;
 import java.util.List;
 
@@ -23,9 +22,17 @@
     private final Membership membership;
     private final Quota quota;
     private final JobDistributor dealer;
+    private final Release release;
     private long lentAt = Long.MIN_VALUE / 2;
 
-    QuotaRebalancer(Context context, Replica replica, Membership membership, Quota quota, JobDistributor dealer) {
+    QuotaRebalancer(
+            Context context,
+            Replica replica,
+            Membership membership,
+            Quota quota,
+            JobDistributor dealer,
+            Release release) {
+        this.release = release;
         this.context = context;
         this.replica = replica;
         this.membership = membership;
@@ -39,8 +46,8 @@
         }
         for (JobEntry job : replica.jobs()) {
             if (job.job() != null
-                    && !job.aborted()
-                    && context.wall() - job.job().acceptedMs() > WAIT_MS
+                    && release.isReady(job.id)
+                    && context.wall() - job.waitsSinceMs() > WAIT_MS
                     && quota.divides(job.job())
                     && job.waiting() > 0
                     && quota.spare(job.job())
--- a/src/main/java/dewlane/core/Release.java
+++ b/src/main/java/dewlane/core/Release.java
@@ -22,6 +22,9 @@
     }
 
     private static final class Item {
+        /** All items that it waits for, and those of them whose result is still to come. */
+        final Set<String> allSources = new LinkedHashSet<>();
+
         final Set<String> sources = new LinkedHashSet<>();
         final Set<String> destinations = new LinkedHashSet<>();
         Result result;
@@ -30,29 +33,40 @@
 
     private final Map<String, Item> items = new HashMap<>();
     private final Set<String> ready = new LinkedHashSet<>();
+    private final Set<String> failed = new LinkedHashSet<>();
 
-    /** Adds an item with the items it waits for, which may be added later. Adding it again changes nothing. */
-    public void add(String id, Collection<String> sources) {
+    /**
+     * Adds an item with the items it waits for, which may be added later. Adding it again changes nothing.
+     *
+     * @return the items that failed by it: this one and its dependants, if one of its sources has failed
+     */
+    public List<String> add(String id, Collection<String> sources) {
         Item item = items.computeIfAbsent(id, k -> new Item());
         if (item.known) {
-            return;
+            return List.of();
         }
         item.known = true;
-        boolean failed = false;
+        boolean sourceFailed = false;
         for (String source : sources) {
             Item from = items.computeIfAbsent(source, k -> new Item());
+            item.allSources.add(source);
+            from.destinations.add(id);
             if (from.result == Result.FAILED) {
-                failed = true;
+                sourceFailed = true;
             } else if (from.result == null) {
                 item.sources.add(source);
-                from.destinations.add(id);
             }
         }
-        if (failed) {
-            finish(id, Result.FAILED);
+        if (item.result == Result.FAILED) {
+            failed.add(id);
+        } else if (sourceFailed) {
+            List<String> dependants = new ArrayList<>(List.of(id));
+            dependants.addAll(finish(id, Result.FAILED));
+            return dependants;
         } else if (item.result == null && item.sources.isEmpty()) {
             ready.add(id);
         }
+        return List.of();
     }
 
     /**
@@ -61,7 +75,7 @@
      * @return the dependants that failed with it
      */
     public List<String> finish(String id, Result result) {
-        List<String> failed = new ArrayList<>();
+        List<String> dependants = new ArrayList<>();
         Deque<String> queue = new ArrayDeque<>(List.of(id));
         while (!queue.isEmpty()) {
             String at = queue.poll();
@@ -72,27 +86,50 @@
             item.result = result;
             ready.remove(at);
             if (!at.equals(id)) {
-                failed.add(at);
+                dependants.add(at);
             }
-            for (String to : item.destinations) {
-                Item destination = items.get(to);
-                if (result == Result.FAILED) {
-                    queue.add(to);
-                } else if (destination.sources.remove(at)
-                        && destination.sources.isEmpty()
-                        && destination.known
-                        && destination.result == null) {
-                    ready.add(to);
+            if (result == Result.FAILED) {
+                if (item.known) {
+                    failed.add(at);
                 }
+                queue.addAll(item.destinations);
+            } else {
+                item.destinations.forEach(to -> strike(at, to));
             }
         }
-        return failed;
+        return dependants;
+    }
+
+    private void strike(String source, String destination) {
+        Item item = items.get(destination);
+        if (item.sources.remove(source) && item.sources.isEmpty() && item.known && item.result == null) {
+            ready.add(destination);
+        }
     }
 
-    /** Drops what is held of an item that nothing waits for. */
+    /** Drops an item that is over. Its result is kept for as long as others that are there name it. */
     public void forget(String id) {
-        items.remove(id);
         ready.remove(id);
+        failed.remove(id);
+        Item item = items.get(id);
+        if (item == null) {
+            return;
+        }
+        for (String source : item.allSources) {
+            Item from = items.get(source);
+            from.destinations.remove(id);
+            dropIfUnused(source, from);
+        }
+        item.allSources.clear();
+        item.sources.clear();
+        item.known = false;
+        dropIfUnused(id, item);
+    }
+
+    private void dropIfUnused(String id, Item item) {
+        if (!item.known && item.destinations.isEmpty()) {
+            items.remove(id);
+        }
     }
 
     /** Ready items, in the order in which they became ready. */
@@ -100,8 +137,42 @@
         return ready;
     }
 
+    /** Items that failed, by themselves or by one that they wait for, and are not forgotten yet. */
+    public Collection<String> failed() {
+        return failed;
+    }
+
     /** True if the job has nothing left to wait for. */
     public boolean isReady(String id) {
         return ready.contains(id);
     }
+
+    /** True if the job failed, by itself or by one that it waits for. */
+    public boolean hasFailed(String id) {
+        return failed.contains(id);
+    }
+
+    /** Items that the item still waits for. */
+    public Collection<String> sources(String id) {
+        Item item = items.get(id);
+        return item == null ? List.of() : item.sources;
+    }
+
+    /** All items that the item waits for or has waited for. */
+    public Collection<String> allSources(String id) {
+        Item item = items.get(id);
+        return item == null ? List.of() : item.allSources;
+    }
+
+    /** Items that wait for the item, or did. */
+    public Collection<String> destinations(String id) {
+        Item item = items.get(id);
+        return item == null ? List.of() : item.destinations;
+    }
+
+    /** True if the item was added and not forgotten. */
+    public boolean isKnown(String id) {
+        Item item = items.get(id);
+        return item != null && item.known;
+    }
 }
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -11,10 +11,13 @@
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -35,124 +38,12 @@
 
         /** A machine has a record. */
         record MachineChanged(String name, MachineRecord after) implements Delta {}
-    }
-
-    /** A job that has a record or slices. */
-    public static final class JobEntry {
-        public final String id;
-        private JobRecord record;
-        private long version;
-        private final TreeMap<Integer, SliceEntry> slices = new TreeMap<>();
-        private Job.Shape shape;
-
-        JobEntry(String id) {
-            this.id = id;
-        }
-
-        /** Null only for the moment between two changes of a listing. */
-        public Job job() {
-            return record == null ? null : record.job();
-        }
-
-        /** The job's shape; only of a job that has a record. */
-        public Job.Shape shape() {
-            return shape;
-        }
-
-        /** True if the job was cancelled. */
-        public boolean aborted() {
-            return record != null && record.aborted();
-        }
-
-        /** The job's record, or null if it has none any more. */
-        JobRecord record() {
-            return record;
-        }
-
-        /** When the job was cancelled; 0: it was not. */
-        public long abortedMs() {
-            return record == null ? 0 : record.abortedMs();
-        }
 
-        /** The revision of the latest change. */
-        public long version() {
-            return version;
-        }
-
-        /** The slices that the job is cut into. */
-        public Collection<SliceEntry> slices() {
-            return slices.values();
-        }
+        /** A job's final state became known. */
+        record Ended(String job, FinalRecord result) implements Delta {}
 
-        /** How many tasks are done. */
-        public int done() {
-            int n = 0;
-            for (SliceEntry s : slices.values()) {
-                n += s.value.done().cardinality();
-            }
-            return n;
-        }
-
-        /** How many attempts may be on a machine. */
-        public int live() {
-            int n = 0;
-            for (SliceEntry s : slices.values()) {
-                n += s.value.attempts().size();
-            }
-            return n;
-        }
-
-        /** Tasks that are neither done nor may be on a machine. */
-        int waiting() {
-            int n = 0;
-            for (SliceEntry s : slices.values()) {
-                n += s.value.waiting();
-            }
-            return n;
-        }
-
-        /** True if every task has a done mark. */
-        public boolean complete() {
-            return record != null && done() == record.job().tasks();
-        }
-
-        /** A number that no slice of the job has had, since slices go only with their job. */
-        int nextSlice() {
-            return slices.isEmpty() ? 0 : slices.lastKey() + 1;
-        }
-
-        /** The slice that holds a task, or null. */
-        public SliceEntry sliceOf(int task) {
-            for (SliceEntry s : slices.values()) {
-                if (task >= s.value.first() && task < s.value.first() + s.value.count()) {
-                    return s;
-                }
-            }
-            return null;
-        }
-    }
-
-    /** A slice and the version of its key. */
-    public static final class SliceEntry {
-        public final int number;
-        public final String key;
-        private Slice value;
-        private long version;
-
-        SliceEntry(String job, int number) {
-            this.number = number;
-            this.key = Keys.slice(job, number);
-        }
-
-        /** The slice's contents. */
-        public Slice value() {
-            return value;
-        }
-
-        /** The revision of the latest change. */
-        public long version() {
-            return version;
-        }
+        /** A key has a value that cannot be read. */
+        record Unread(String key, String reason) implements Delta {}
     }
 
     /** A record of one or several machines, its key, and the version of that. */
@@ -167,6 +58,11 @@
     private final Map<String, MachineEntry> machines = new LinkedHashMap<>();
     private final Map<String, MachineEntry> machineKeys = new LinkedHashMap<>();
     private final Map<String, Presence> presences = new LinkedHashMap<>();
+    /** Jobs of which only slices are left. */
+    private final Set<JobEntry> leftovers = new LinkedHashSet<>();
+    /** Keys of jobs and slices whose values cannot be read, by job. */
+    private final Map<String, Set<String>> unreadable = new HashMap<>();
+
     private final Object2LongOpenHashMap<String> teams = new Object2LongOpenHashMap<>();
     private final Cache<String, FinalRecord> finals =
             Caffeine.newBuilder().maximumSize(20_000).executor(Runnable::run).build();
@@ -183,14 +79,18 @@
     /** Begins anew from a listing. Changes after {@code listedAt} must follow, whether or not the rows have them. */
     void load(List<Input.Row> rows, long listedAt) {
         for (JobEntry entry : List.copyOf(jobs.values())) {
-            for (SliceEntry slice : List.copyOf(entry.slices.values())) {
-                follower.accept(new Delta.SliceChanged(entry, slice, slice.value, null));
+            for (SliceEntry slice : List.copyOf(entry.slices())) {
+                follower.accept(new Delta.SliceChanged(entry, slice, slice.value(), null));
+            }
+            JobRecord before = entry.record();
+            entry.removeRecord();
+            if (before != null) {
+                follower.accept(new Delta.JobChanged(entry, before, null));
             }
-            JobRecord before = entry.record;
-            entry.record = null;
-            follower.accept(new Delta.JobChanged(entry, before, null));
         }
         jobs.clear();
+        leftovers.clear();
+        unreadable.clear();
         machines.clear();
         machineKeys.clear();
         presences.clear();
@@ -208,23 +108,20 @@
     /** Applies one change of the watch. A change older than what is held is one that the listing already had. */
     void apply(Input.Change change) {
         String key = change.key();
-        if (key.startsWith(Keys.SLICES)) {
+        if (change.value() instanceof Value.Unreadable bad) {
+            noteUnreadable(key, bad.reason());
+        } else if (key.startsWith(Keys.SLICES)) {
             slice(key.substring(Keys.SLICES.length()), change);
         } else if (key.startsWith(Keys.JOBS)) {
             job(key.substring(Keys.JOBS.length()), change);
         } else if (key.startsWith(Keys.FINALS)) {
             if (change.value() != null) {
-                finals.put(key.substring(Keys.FINALS.length()), (FinalRecord) change.value());
+                rememberFinal(key.substring(Keys.FINALS.length()), (FinalRecord) change.value());
             }
         } else if (key.startsWith(Keys.MACHINES)) {
             machineRecord(change);
         } else if (key.startsWith(Keys.PRESENCE)) {
-            String name = key.substring(Keys.PRESENCE.length());
-            if (change.value() == null) {
-                presences.remove(name);
-            } else {
-                presences.put(name, (Presence) change.value());
-            }
+            presence(key.substring(Keys.PRESENCE.length()), (Presence) change.value());
         } else if (key.startsWith(Keys.TEAMS)) {
             String name = key.substring(Keys.TEAMS.length());
             teams.put(name, Math.max(teams.getLong(name), change.value() == null ? 0 : change.version()));
@@ -236,6 +133,54 @@
         }
     }
 
+    private void presence(String name, Presence presence) {
+        if (presence == null) {
+            presences.remove(name);
+        } else {
+            presences.put(name, presence);
+        }
+    }
+
+    /**
+     * Holds what depends on a value that cannot be read, instead of guessing: a job is neither launched nor ended nor
+     * told about, a controller counts as present, and an unreadable map is never replaced, as its version stays
+     * unknown.
+     */
+    private void noteUnreadable(String key, String reason) {
+        if (key.startsWith(Keys.SLICES) || key.startsWith(Keys.JOBS)) {
+            unreadable.computeIfAbsent(jobOf(key), k -> new HashSet<>()).add(key);
+        } else if (key.startsWith(Keys.PRESENCE)) {
+            presences.put(key.substring(Keys.PRESENCE.length()), new Presence(0, StoredFormat.FIRST));
+        }
+        follower.accept(new Delta.Unread(key, reason));
+    }
+
+    private void noteReadable(String job, String key) {
+        Set<String> keys = unreadable.isEmpty() ? null : unreadable.get(job);
+        if (keys != null && keys.remove(key) && keys.isEmpty()) {
+            unreadable.remove(job);
+        }
+    }
+
+    private static String jobOf(String key) {
+        if (key.startsWith(Keys.JOBS)) {
+            return key.substring(Keys.JOBS.length());
+        }
+        String name = key.substring(Keys.SLICES.length());
+        int slash = name.lastIndexOf('/');
+        return slash < 0 ? name : name.substring(0, slash);
+    }
+
+    /** True if something of the job is stored that cannot be read, so that nothing about it may be decided. */
+    public boolean isHeld(String job) {
+        return !unreadable.isEmpty() && unreadable.containsKey(job);
+    }
+
+    /** Jobs of which something cannot be read. */
+    Set<String> held() {
+        return unreadable.keySet();
+    }
+
     private void machineRecord(Input.Change change) {
         MachineEntry known = machineKeys.get(change.key());
         if (known != null && known.version > change.version()) {
@@ -260,15 +205,11 @@
     }
 
     private void job(String id, Input.Change change) {
+        noteReadable(id, change.key());
         JobEntry entry = jobs.get(id);
         if (change.value() == null) {
-            if (entry != null && entry.version < change.version()) {
-                JobRecord before = entry.record;
-                entry.record = null;
-                entry.version = 0;
-                follower.accept(new Delta.JobChanged(entry, before, null));
-                entry.slices.values().removeIf(slice -> slice.version == 0);
-                dropIfEmpty(entry);
+            if (entry != null && entry.version() < change.version()) {
+                removeJob(entry);
             }
             return;
         }
@@ -276,43 +217,55 @@
             entry = new JobEntry(id);
             jobs.put(id, entry);
         }
-        if (change.version() >= entry.version) {
-            JobRecord before = entry.record;
-            entry.record = (JobRecord) change.value();
-            entry.shape = entry.record.job().shape();
-            entry.version = change.version();
-            follower.accept(new Delta.JobChanged(entry, before, entry.record));
+        if (change.version() >= entry.version()) {
+            JobRecord before = entry.record();
+            entry.store((JobRecord) change.value(), change.version());
+            leftovers.remove(entry);
+            follower.accept(new Delta.JobChanged(entry, before, entry.record()));
             if (before == null) {
                 deal(entry);
             }
         }
     }
 
+    private void removeJob(JobEntry entry) {
+        JobRecord before = entry.record();
+        entry.removeRecord();
+        if (before != null) {
+            follower.accept(new Delta.JobChanged(entry, before, null));
+        }
+        entry.slices().removeIf(slice -> slice.version() == 0);
+        keepLeftovers(entry);
+    }
+
     /** A slice that has no key yet is as it was dealt, at version 0. */
     private void deal(JobEntry entry) {
-        List<Value.Deal> deals = entry.record.deals();
+        List<Value.Deal> deals = entry.record().deals();
         for (int i = 0; i < deals.size(); i++) {
-            if (!entry.slices.containsKey(i)) {
+            if (!entry.slicesByNumber().containsKey(i)) {
                 SliceEntry slice = new SliceEntry(entry.id, i);
-                slice.value = deals.get(i).slice();
-                entry.slices.put(i, slice);
+                slice.store(deals.get(i).slice(), 0);
+                entry.slicesByNumber().put(i, slice);
+                slice.restrictTo(countLeft(entry, slice));
             }
         }
     }
 
     private void slice(String name, Input.Change change) {
         int slash = name.lastIndexOf('/');
-        String id = name.substring(0, slash);
-        int number = Integer.parseInt(name.substring(slash + 1));
+        String id = name.substring(0, Math.max(0, slash));
+        int number;
+        try {
+            number = Integer.parseInt(name.substring(slash + 1));
+        } catch (NumberFormatException e) {
+            follower.accept(new Delta.Unread(change.key(), "no slice number"));
+            return;
+        }
+        noteReadable(id, change.key());
         JobEntry entry = jobs.get(id);
         if (change.value() == null) {
             if (entry != null) {
-                SliceEntry held = entry.slices.get(number);
-                if (held != null && held.version < change.version()) {
-                    entry.slices.remove(number);
-                    follower.accept(new Delta.SliceChanged(entry, held, held.value, null));
-                }
-                dropIfEmpty(entry);
+                removeSlice(entry, number, change.version());
             }
             return;
         }
@@ -320,21 +273,74 @@
             entry = new JobEntry(id);
             jobs.put(id, entry);
         }
-        SliceEntry held = entry.slices.computeIfAbsent(number, n -> new SliceEntry(id, n));
-        if (change.version() >= held.version) {
-            Slice before = held.value;
-            held.value = (Slice) change.value();
-            held.version = change.version();
-            follower.accept(new Delta.SliceChanged(entry, held, before, held.value));
+        storeSlice(entry, number, (Slice) change.value(), change.version());
+        keepLeftovers(entry);
+    }
+
+    private void removeSlice(JobEntry entry, int number, long version) {
+        SliceEntry held = entry.slicesByNumber().get(number);
+        if (held != null && held.version() < version) {
+            entry.slicesByNumber().remove(number);
+            follower.accept(new Delta.SliceChanged(entry, held, held.value(), null));
         }
+        keepLeftovers(entry);
     }
 
-    private void dropIfEmpty(JobEntry entry) {
-        if (entry.record == null && entry.slices.isEmpty()) {
+    private void storeSlice(JobEntry entry, int number, Slice value, long version) {
+        SliceEntry held = entry.slicesByNumber().computeIfAbsent(number, n -> new SliceEntry(entry.id, n));
+        if (version < held.version()) {
+            return;
+        }
+        Slice before = held.value();
+        held.store(value, version);
+        held.restrictTo(countLeft(entry, held));
+        // What it takes over leaves the others first, so that no attempt is in two slices in between.
+        for (SliceEntry other : entry.slicesByNumber().headMap(number).values()) {
+            int count = countLeft(entry, other);
+            if (count != other.value().count()) {
+                Slice was = other.value();
+                other.restrictTo(count);
+                follower.accept(new Delta.SliceChanged(entry, other, was, other.value()));
+            }
+        }
+        follower.accept(new Delta.SliceChanged(entry, held, before, held.value()));
+    }
+
+    /**
+     * How many of its first tasks a slice still holds. One that is too large to be written in one piece is cut by
+     * slices with higher numbers, which take over its last tasks group by group: a task is always in the slice with the
+     * highest number that holds it.
+     */
+    private static int countLeft(JobEntry entry, SliceEntry slice) {
+        int first = slice.stored().first();
+        int count = slice.stored().count();
+        for (SliceEntry later :
+                entry.slicesByNumber().tailMap(slice.number, false).values()) {
+            int from = later.stored().first();
+            if (from >= first && from < first + count) {
+                count = from - first;
+            }
+        }
+        return count;
+    }
+
+    private void keepLeftovers(JobEntry entry) {
+        if (entry.record() != null) {
+            return;
+        }
+        if (entry.slices().isEmpty()) {
+            leftovers.remove(entry);
             jobs.remove(entry.id);
+        } else {
+            leftovers.add(entry);
         }
     }
 
+    /** Jobs that are over and of which only slices are left, to be deleted. */
+    Collection<JobEntry> leftovers() {
+        return leftovers;
+    }
+
     /** The revision up to which everything is known. */
     public long revision() {
         return revision;
@@ -367,6 +373,7 @@
 
     void rememberFinal(String id, FinalRecord fin) {
         finals.put(id, fin);
+        follower.accept(new Delta.Ended(id, fin));
     }
 
     /** Records of machines by their keys. */
--- a/src/main/java/dewlane/core/ScaleDown.java
+++ b/src/main/java/dewlane/core/ScaleDown.java
@@ -13,7 +13,7 @@
  * the machines once it is written; the leader deletes them.
  */
 final class ScaleDown {
-    private static final int MOST_AT_ONCE = 100;
+    private static final int MOST_AT_ONCE = MachineRecords.MOST_NAMES;
     /** Those that become idle soon after one another share a record. */
     private static final long GATHER_MS = 4000;
     /** While work waits, idle machines are kept for so many times as long: it may be about to reach them. */
@@ -25,6 +25,7 @@
     private final Membership membership;
     private final TransactionQueue transactions;
     private final Placement placement;
+    private final Release release;
     private long records;
     private long returnedAt = Long.MIN_VALUE / 2;
 
@@ -34,7 +35,9 @@
             Machines machines,
             Membership membership,
             TransactionQueue transactions,
-            Placement placement) {
+            Placement placement,
+            Release release) {
+        this.release = release;
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -69,8 +72,8 @@
     }
 
     private boolean workWaits() {
-        for (Replica.JobEntry job : replica.jobs()) {
-            if (job.job() != null && !job.aborted() && job.waiting() > 0) {
+        for (JobEntry job : replica.jobs()) {
+            if (job.job() != null && release.isReady(job.id) && job.waiting() > 0) {
                 return true;
             }
         }
@@ -79,9 +82,13 @@
 
     private void giveBack(List<Machine> idle) {
         returnedAt = context.now();
-        List<String> names = idle.stream().map(m -> m.name).toList();
+        // What a record has no room for goes back by the next one.
+        List<String> all = idle.stream().map(m -> m.name).toList();
+        List<String> names =
+                MachineRecords.split(all, context.settings().valueBytes()).get(0);
         context.info("returning idle machines " + names);
-        idle.forEach(m -> m.leaving = true);
+        List<Machine> leaving = idle.subList(0, names.size());
+        leaving.forEach(m -> m.leaving = true);
         String key = Keys.machines(context.settings().node() + "-idle", membership.incarnation(), ++records);
         Transaction txn = new Transaction.Builder()
                 .when(key, 0)
@@ -90,7 +97,7 @@
                 .build();
         transactions.submit(TransactionQueue.Urgency.LATER, txn, (status, revision) -> {
             if (status != Transaction.Status.COMMITTED) {
-                idle.forEach(m -> m.leaving = false);
+                leaving.forEach(m -> m.leaving = false);
             }
         });
     }
--- a/src/main/java/dewlane/core/Settings.java
+++ b/src/main/java/dewlane/core/Settings.java
@@ -13,13 +13,14 @@
         double reportS,
         double leaseS,
         double cancelS,
-        double stateRps,
-        double stateWriteRps,
-        int valueBytes,
-        int txnOps,
+        StateLimits state,
         double cloudRps,
         double listLagS,
         Tuning tuning) {
+    /** The state service takes so many times as many conditions as changes. */
+    private static final int GUARDS_PER_OP = 4;
+    /** Version 0.1 does not start where a transaction may make fewer changes. */
+    private static final int LEAST_OPS_OF_0_1 = 8;
 
     /** A team's guarantee and limit; a limit of 0 is none. */
     public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {
@@ -37,12 +38,33 @@
         return (long) (reportS * 1800);
     }
 
+    /** Requests a second that the state service takes. */
+    public double stateRps() {
+        return state.rps();
+    }
+
+    /** Bytes that a stored value may have. */
+    public int valueBytes() {
+        return state.valueBytes();
+    }
+
+    /** Changes that a transaction may make. */
+    public int txnOps() {
+        return state.txnOps();
+    }
+
+    /** Conditions that a transaction may have. */
+    public int txnGuards() {
+        return GUARDS_PER_OP * state.txnOps();
+    }
+
     /**
-     * Slices a job may have: its end takes them, the job and the final state in one transaction, and a launch that
-     * hands tasks on writes a new one and the team beside them.
+     * Slices that a job is cut into at most. Version 0.1 ends a job by one transaction that deletes all its slices, and
+     * may run beside this one, so no job gets more than that version can end.
      */
     public int mostSlices() {
-        return txnOps - 3;
+        int present = state.present().txnOps();
+        return present < LEAST_OPS_OF_0_1 ? Integer.MAX_VALUE : present - 3;
     }
 
     /** The shortest time that an aim of the kind gives jobs of the class, or infinity. */
--- /dev/null
+++ b/src/main/java/dewlane/core/SliceEntry.java
@@ -0,0 +1,42 @@
+package dewlane.core;
+
+import dewlane.core.Value.Slice;
+
+/** A slice of a job as the replica holds it, and the version of its key. */
+public final class SliceEntry {
+    public final int number;
+    public final String key;
+    private Slice stored;
+    private Slice value;
+    private long version;
+
+    SliceEntry(String job, int number) {
+        this.number = number;
+        this.key = Keys.slice(job, number);
+    }
+
+    /** The slice's contents, less the tasks that slices with higher numbers have taken over. */
+    public Slice value() {
+        return value;
+    }
+
+    /** The revision of the latest change; 0 while the job's deal stands for the slice. */
+    public long version() {
+        return version;
+    }
+
+    Slice stored() {
+        return stored;
+    }
+
+    void store(Slice slice, long at) {
+        stored = slice;
+        value = slice;
+        version = at;
+    }
+
+    /** Restricts the slice to its first tasks, as another one holds the rest. */
+    void restrictTo(int count) {
+        value = count == stored.count() ? stored : stored.part(0, count);
+    }
+}
--- /dev/null
+++ b/src/main/java/dewlane/core/Submissions.java
@@ -0,0 +1,258 @@
+package dewlane.core;
+
+import dewlane.core.Effect.Condition;
+import dewlane.core.Value.FinalRecord;
+import dewlane.core.Value.JobRecord;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Takes submissions: decides whether a job can run at all, whether the jobs that it awaits were ever accepted, and
+ * writes it.
+ */
+final class Submissions {
+    /** When those come back whose submission is more than can be written. */
+    private static final int OVERLOAD_RETRY_S = 4;
+    /** When those come back who ask for what an older version that still runs does not know. */
+    private static final int UPGRADE_RETRY_S = 5;
+
+    private final Context context;
+    private final Replica replica;
+    private final Machines machines;
+    private final Membership membership;
+    private final TransactionQueue transactions;
+    private final JobDistributor distributor;
+    private final Dependencies dependencies;
+    private final ReadBarrier barrier;
+    private final FinalReader finals;
+    private final Users users;
+    private final UserReplies replies;
+    private final ValueSize size;
+
+    Submissions(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Membership membership,
+            TransactionQueue transactions,
+            JobDistributor distributor,
+            Dependencies dependencies,
+            ReadBarrier barrier,
+            FinalReader finals,
+            Users users,
+            ValueSize size) {
+        this.context = context;
+        this.replica = replica;
+        this.machines = machines;
+        this.membership = membership;
+        this.transactions = transactions;
+        this.distributor = distributor;
+        this.dependencies = dependencies;
+        this.barrier = barrier;
+        this.finals = finals;
+        this.users = users;
+        this.replies = new UserReplies(context);
+        this.size = size;
+    }
+
+    void submit(Input.Submit in) {
+        if (in.uid() == null) {
+            replies.refused(in.id(), 400, in.reason());
+            return;
+        }
+        if (replica.job(in.uid()) != null || replica.fin(in.uid()) != null) {
+            // A job that is known stays known, whatever the body of a retry says.
+            users.lookUp(in.id(), in.uid(), () -> take(in));
+            return;
+        }
+        if (in.job() == null) {
+            // No accepted job was malformed, but only the state service knows of all that are over. Where it does not
+            // answer, a body that could never be accepted is told so all the same.
+            users.lookUp(in.id(), in.uid(), () -> take(in), () -> replies.refused(in.id(), 400, in.reason()));
+            return;
+        }
+        String unfit = unfit(in.job());
+        if (unfit != null) {
+            reject(in, unfit);
+        } else if (machines.types().isEmpty() || !membership.joined()) {
+            replies.later(in.id(), "not ready, try again");
+        } else {
+            take(in);
+        }
+    }
+
+    /** Refuses a job that can never run, unless it was accepted earlier. */
+    private void reject(Input.Submit in, String reason) {
+        users.lookUp(in.id(), in.uid(), () -> replies.refused(in.id(), 422, reason));
+    }
+
+    private void take(Input.Submit in) {
+        if (in.job() == null) {
+            replies.refused(in.id(), 400, in.reason());
+        } else if (!membership.joined()) {
+            replies.later(in.id(), "not ready, try again");
+        } else if (in.job().awaits().isEmpty()) {
+            accept(in);
+        } else if (membership.olderVersionRuns()) {
+            replies.later(in.id(), "an upgrade is under way, try again", UPGRADE_RETRY_S);
+        } else if (in.job().awaits().contains(in.uid())) {
+            reject(in, "the job awaits itself");
+        } else if (unknown(in.job()).isEmpty()) {
+            accept(in);
+        } else {
+            // Another controller may have accepted what is awaited a moment ago.
+            barrier.await(() -> lookUpAwaited(in), () -> replies.unavailable(in.id()));
+        }
+    }
+
+    /** Awaited jobs of which this controller does not know that they were accepted. */
+    private List<String> unknown(Job job) {
+        List<String> unknown = new ArrayList<>();
+        for (String id : job.awaits()) {
+            JobEntry entry = replica.job(id);
+            boolean accepted = entry != null && entry.record() != null || replica.fin(id) != null;
+            if (!accepted) {
+                unknown.add(id);
+            }
+        }
+        return unknown;
+    }
+
+    /** The replica holds all that was accepted and is not over; the others have a final state, or never were. */
+    private void lookUpAwaited(Input.Submit in) {
+        List<String> unknown = unknown(in.job());
+        if (unknown.isEmpty()) {
+            accept(in);
+            return;
+        }
+        String next = unknown.get(0);
+        if (replica.isHeld(next)) {
+            replies.later(in.id(), "the state of " + next + " cannot be read, try again");
+            return;
+        }
+        boolean asked = finals.read(next, new FinalReader.Listener() {
+            @Override
+            public void found(FinalRecord result) {
+                lookUpAwaited(in);
+            }
+
+            @Override
+            public void absent() {
+                reject(in, "awaits " + next + ", which was never accepted");
+            }
+
+            @Override
+            public void noAnswer() {
+                replies.unavailable(in.id());
+            }
+        });
+        if (!asked) {
+            // What was read so far is remembered, so the next try has less to look up.
+            replies.later(in.id(), "too many questions, try again");
+        }
+    }
+
+    private void accept(Input.Submit in) {
+        Job job = in.job().withAccepted(context.wall()).withAwaits(notDone(in.job()));
+        if (cancelledFromTheStart(job)) {
+            acceptCancelled(in, job);
+            return;
+        }
+        JobRecord record = new JobRecord(job, distributor.deal(job), 0);
+        int most = context.settings().valueBytes();
+        if (size.bytes(record) > most) {
+            record = new JobRecord(job, distributor.dealWhole(job), 0);
+        }
+        if (size.bytes(record) > most) {
+            reject400(in, most);
+            return;
+        }
+        if (!transactions.admitsUser()) {
+            replies.later(in.id(), "too many submissions, try again", OVERLOAD_RETRY_S);
+            return;
+        }
+        Transaction.Builder txn = newJob(job.id()).set(Keys.job(job.id()), record);
+        write(in, txn, () -> replies.accepted(in.id(), job.id(), Condition.PENDING));
+    }
+
+    /** A job whose record fits no value is malformed for this service: its lists or names are too long. */
+    private void reject400(Input.Submit in, int most) {
+        String reason = "the job, with " + in.job().awaits().size() + " awaited jobs, does not fit into a stored value of "
+                + most + " bytes";
+        users.lookUp(in.id(), in.uid(), () -> replies.refused(in.id(), 400, reason));
+    }
+
+    /** What is known to be done need not be awaited, and not be looked up again after a restart. */
+    private List<String> notDone(Job job) {
+        List<String> left = new ArrayList<>();
+        for (String id : job.awaits()) {
+            FinalRecord result = replica.fin(id);
+            if (result == null || result.aborted()) {
+                left.add(id);
+            }
+        }
+        return left;
+    }
+
+    private boolean cancelledFromTheStart(Job job) {
+        for (String id : job.awaits()) {
+            JobEntry entry = replica.job(id);
+            FinalRecord result = replica.fin(id);
+            if (result != null && result.aborted()
+                    || entry != null && entry.record() != null && dependencies.cancelled(entry)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A job that names a cancelled one is accepted all the same. It is over, so its final state is all there is. */
+    private void acceptCancelled(Input.Submit in, Job job) {
+        if (!transactions.admitsUser()) {
+            replies.later(in.id(), "too many submissions, try again", OVERLOAD_RETRY_S);
+            return;
+        }
+        FinalRecord result = new FinalRecord(true, context.wall());
+        Transaction.Builder txn = newJob(job.id()).set(Keys.fin(job.id()), result);
+        write(in, txn, () -> {
+            context.info("job " + job.id() + " is cancelled from the start, through one that it awaits");
+            replica.rememberFinal(job.id(), result);
+            replies.accepted(in.id(), job.id(), Condition.ABORTED);
+        });
+    }
+
+    private static Transaction.Builder newJob(String id) {
+        return new Transaction.Builder().when(Keys.job(id), 0).when(Keys.fin(id), 0);
+    }
+
+    private void write(Input.Submit in, Transaction.Builder txn, Runnable accepted) {
+        transactions.submit(TransactionQueue.Urgency.USER, txn.build(), (status, revision) -> {
+            if (status == Transaction.Status.COMMITTED) {
+                accepted.run();
+            } else if (status == Transaction.Status.CONFLICT) {
+                users.lookUp(in.id(), in.uid(), () -> replies.later(in.id(), "try again"));
+            } else {
+                replies.unavailable(in.id());
+            }
+        });
+    }
+
+    /** Why the job can never run, or null. */
+    private String unfit(Job job) {
+        Settings.Team team = context.settings().teams().get(job.team());
+        if (team == null) {
+            return "unknown team " + job.team();
+        }
+        if ((team.cpusMax() > 0 && job.cpus() > team.cpusMax() + 1e-9)
+                || (team.gpusMax() > 0 && job.gpus() > team.gpusMax() + 1e-9)) {
+            return "a task needs more than the limit of " + job.team();
+        }
+        for (MachineType t : machines.types()) {
+            boolean zoned = job.zone() == null || t.zones().contains(job.zone());
+            if (job.allowsType(t.name()) && zoned && t.fits(job) > 0) {
+                return null;
+            }
+        }
+        return machines.types().isEmpty() ? null : "a task fits no allowed machine type";
+    }
+}
--- a/src/main/java/dewlane/core/Transaction.java
+++ b/src/main/java/dewlane/core/Transaction.java
@@ -17,6 +17,9 @@
         COMMITTED,
         CONFLICT,
         INVALID,
+        /** Not executed: more changes or requests than the rate allows. */
+        OVER_RATE,
+        /** Not executed: the state service is out, for all or for this controller. */
         REFUSED,
         UNKNOWN
     }
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -59,16 +59,10 @@
     /** The part of the burst that is kept for outcomes and users. */
     private static final double RESERVE = 0.25;
 
-    private static final double MOST_BOOST = 2.5;
-    private static final double BOOST_PER_S = 0.2;
-    /** The part of the write rate that submissions may take: the rest is for what was accepted. */
-    private static final double USER_SHARE = 0.4;
     /** Submissions that may wait before further ones are told to come back. */
     private static final int MOST_USERS_WAITING = 16;
     /** What users wait for is given up on when they have. */
     private static final long USER_PATIENCE_MS = 4000;
-    /** Refusals within so long are one: each would empty the bucket again, and nothing but users' writes be sent. */
-    private static final long REFUSAL_MS = 500;
     /** Pauses before a write is tried again, doubled with each try. */
     private static final long PAUSE_MS = 100;
 
@@ -86,22 +80,28 @@
     /** Entries of the queue by urgency. */
     private final int[] waiting = new int[Urgency.values().length];
 
-    private double tokens;
-    private long refilledAt = Long.MIN_VALUE;
-    private int share = 1;
-    private double boost = 1;
-    private long refusedAt = Long.MIN_VALUE / 2;
-    private double userTokens;
+    private final WriteBudget budget;
+    private final ValueSize size;
+    private boolean sizeRefused;
 
-    TransactionQueue(Context context, Counters counters) {
+    TransactionQueue(Context context, Counters counters, ValueSize size) {
         this.context = context;
         this.counters = counters;
-        this.userTokens = userBurst();
+        this.size = size;
+        this.budget = new WriteBudget(context);
     }
 
     /** Live controllers share the write rate. */
     void shareAmong(int controllers) {
-        share = Math.max(1, controllers);
+        budget.shareAmong(controllers);
+    }
+
+    /**
+     * True once a write within the present limits was called invalid: the coming ones are in force, which they are only
+     * after every controller has been upgraded.
+     */
+    boolean sizeWasRefused() {
+        return sizeRefused;
     }
 
     void submit(Urgency urgency, Transaction txn, Listener listener) {
@@ -114,12 +114,11 @@
      * waits unbuilt gathers, what waits in the queue only grows old.
      */
     boolean open(Urgency urgency) {
-        refill();
         int before = 0;
         for (int i = 0; i <= urgency.ordinal(); i++) {
             before += waiting[i];
         }
-        return before < MOST_WAITING && tokens >= Math.max(1, capacity() * reserve(urgency));
+        return before < MOST_WAITING && budget.tokens() >= Math.max(1, budget.capacity() * reserve(urgency));
     }
 
     /**
@@ -127,16 +126,7 @@
      * submissions that were all tried again and again took every change there was, and nothing accepted could run.
      */
     boolean admitsUser() {
-        refill();
-        if (waiting[Urgency.USER.ordinal()] >= MOST_USERS_WAITING || userTokens < 1) {
-            return false;
-        }
-        userTokens--;
-        return true;
-    }
-
-    private double userBurst() {
-        return context.settings().stateWriteRps();
+        return waiting[Urgency.USER.ordinal()] < MOST_USERS_WAITING && budget.admitsUser();
     }
 
     private void enqueue(Entry entry) {
@@ -155,8 +145,7 @@
 
     /** True if changes are short, so that it pays to say more with each. */
     boolean scarce() {
-        refill();
-        return tokens < capacity() / 2;
+        return budget.tokens() < budget.capacity() / 2;
     }
 
     void answered(Input.TxnAnswer answer) {
@@ -167,11 +156,15 @@
         switch (answer.status()) {
             case COMMITTED, CONFLICT, INVALID -> {
                 counters.conflicts += answer.status() == Transaction.Status.CONFLICT ? 1 : 0;
+                if (answer.status() == Transaction.Status.INVALID) {
+                    noteInvalid(entry.txn);
+                }
                 entry.listener.answered(answer.status(), answer.revision());
             }
             default -> {
-                if (answer.status() == Transaction.Status.REFUSED) {
-                    refused();
+                if (answer.status() != Transaction.Status.UNKNOWN) {
+                    counters.refused++;
+                    budget.refused(answer.status() == Transaction.Status.OVER_RATE);
                 }
                 if (fromUser(entry) && context.now() - entry.submittedAt > USER_PATIENCE_MS) {
                     entry.listener.answered(answer.status(), 0);
@@ -183,12 +176,24 @@
         pump();
     }
 
-    private void refused() {
-        counters.refused++;
-        boost = Math.max(1, boost / 2);
-        if (context.now() - refusedAt >= REFUSAL_MS) {
-            refusedAt = context.now();
-            tokens = Math.min(tokens, 0);
+    /** Says which write was called invalid: it is not sent again as it is, and its writer makes another one. */
+    private void noteInvalid(Transaction txn) {
+        counters.invalid++;
+        String largest = null;
+        int most = 0;
+        boolean leased = false;
+        for (Transaction.Write write : txn.apply()) {
+            int bytes = write.value() == null ? 0 : size.bytes(write.value());
+            leased |= write.lease() != 0;
+            if (largest == null || bytes > most) {
+                largest = write.key();
+                most = bytes;
+            }
+        }
+        if (!leased) {
+            sizeRefused |= most > context.settings().valueBytes();
+            context.info("a write of " + txn.apply().size() + " changes was called invalid; its largest value, of "
+                    + largest + ", has " + most + " bytes");
         }
     }
 
@@ -201,7 +206,7 @@
         entry.tries++;
         long pause = PAUSE_MS;
         if (entry.urgency.compareTo(Urgency.USER) <= 0) {
-            boolean busy = status == Transaction.Status.REFUSED && fromUser(entry);
+            boolean busy = status != Transaction.Status.UNKNOWN && fromUser(entry);
             pause = busy ? USER_REFUSED_PAUSE_MS : USER_PAUSE_MS;
         }
         entry.notBefore = context.now()
@@ -211,7 +216,6 @@
     }
 
     void pump() {
-        refill();
         List<Entry> later = new ArrayList<>();
         while (!queue.isEmpty() && inFlight.size() < MAX_IN_FLIGHT) {
             Entry entry = queue.poll();
@@ -222,38 +226,16 @@
                 continue;
             }
             if (entry.urgency.compareTo(Urgency.USER) > 0
-                    && tokens < Math.min(cost + capacity() * reserve(entry.urgency), capacity())) {
+                    && budget.tokens()
+                            < Math.min(cost + budget.capacity() * reserve(entry.urgency), budget.capacity())) {
                 later.add(entry);
                 break;
             }
-            // What users wait for goes out at once and is owed. The debt has a bound: in a long outage it grew to what
-            // took ten minutes to pay, and for so long nothing was launched.
-            tokens = Math.max(Math.min(tokens, -capacity()), tokens - cost);
+            budget.spend(cost);
             counters.wrote(entry.urgency, entry.txn.apply().size());
             inFlight.put(entry.id, entry);
             context.emit(new Effect.SendTxn(entry.id, entry.txn));
         }
         later.forEach(this::enqueue);
     }
-
-    /** An equal share, and more as long as the state service refuses none: others may need less than theirs. */
-    private double rate() {
-        return context.settings().stateWriteRps() * 0.85 / share * Math.min(boost, share);
-    }
-
-    private double capacity() {
-        return Math.max(context.settings().txnOps(), rate());
-    }
-
-    private void refill() {
-        if (refilledAt == Long.MIN_VALUE) {
-            tokens = capacity();
-        } else {
-            double passedS = (context.now() - refilledAt) / 1000.0;
-            tokens = Math.min(capacity(), tokens + rate() * passedS);
-            userTokens = Math.min(userBurst(), userTokens + rate() * USER_SHARE * passedS);
-            boost = Math.min(MOST_BOOST, boost + BOOST_PER_S * passedS);
-        }
-        refilledAt = context.now();
-    }
 }
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -1,5 +1,6 @@
 package dewlane.core;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,16 @@
      *
      * @param deals how its tasks were dealt at acceptance; deal N holds until slice N has a key of its own
      */
-    record JobRecord(Job job, List<Deal> deals, long abortedMs) implements Value {
+    record JobRecord(Job job, List<Deal> deals, long abortedMs, UnknownFields unknown) implements Value {
+        public JobRecord(Job job, List<Deal> deals, long abortedMs) {
+            this(job, deals, abortedMs, UnknownFields.NONE);
+        }
+
+        /** The same record with the mark that the job is cancelled, and without deals if they are not to be kept. */
+        JobRecord cancelled(long atMs, boolean keepDeals) {
+            return new JobRecord(job, keepDeals ? deals : List.of(), atMs, unknown);
+        }
+
         /** True if the job was cancelled. */
         public boolean aborted() {
             return abortedMs > 0;
@@ -36,8 +46,47 @@
      * @param launches number of the latest launch
      * @param done tasks that are done, as offsets from {@code first}
      */
-    record Slice(String owner, int first, int count, int launches, BitSet done, List<Attempt> attempts)
+    record Slice(
+            String owner,
+            int first,
+            int count,
+            int launches,
+            BitSet done,
+            List<Attempt> attempts,
+            UnknownFields unknown)
             implements Value {
+        public Slice(String owner, int first, int count, int launches, BitSet done, List<Attempt> attempts) {
+            this(owner, first, count, launches, done, attempts, UnknownFields.NONE);
+        }
+
+        /** The same slice with other outcomes. */
+        Slice withOutcomes(BitSet nowDone, List<Attempt> left) {
+            return new Slice(owner, first, count, launches, nowDone, List.copyOf(left), unknown);
+        }
+
+        /** The same slice owned by the launching controller, after one more launch. */
+        Slice withLaunch(String launcher, List<Attempt> live) {
+            return new Slice(launcher, first, count, launches + 1, done, List.copyOf(live), unknown);
+        }
+
+        /** The same slice dealt to another controller. */
+        Slice withOwner(String other) {
+            return new Slice(other, first, count, launches, done, attempts, unknown);
+        }
+
+        /** The run of {@code length} tasks that begins {@code from} tasks after the first. */
+        Slice part(int from, int length) {
+            BitSet doneThere = done.get(from, from + length);
+            List<Attempt> there = new ArrayList<>();
+            for (Attempt a : attempts) {
+                int offset = a.task() - first;
+                if (offset >= from && offset < from + length) {
+                    there.add(a);
+                }
+            }
+            return new Slice(owner, first + from, length, launches, doneThere, List.copyOf(there), unknown);
+        }
+
         /** True if every task of the slice is done. */
         public boolean complete() {
             return done.cardinality() == count;
@@ -79,7 +128,13 @@
      * @param moved machines that could not reach the controller of their part, and the one that took them over
      * @param loans by how much shares of teams' limits differ from equal ones; those of a team add up to nothing
      */
-    record ClusterMap(long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans) implements Value {
+    record ClusterMap(
+            long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans, UnknownFields unknown)
+            implements Value {
+        public ClusterMap(long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans) {
+            this(epoch, members, moved, loans, UnknownFields.NONE);
+        }
+
         public ClusterMap(long epoch, List<Member> members, Map<String, String> moved) {
             this(epoch, members, moved, List.of());
         }
@@ -106,8 +161,16 @@
     /** A controller and the epoch at which it joined. */
     record Member(String name, long incarnation) {}
 
-    /** Attached to a controller's lease: it is there as long as the controller renews. */
-    record Presence(long incarnation) implements Value {}
+    /**
+     * Attached to a controller's lease: it is there as long as the controller renews.
+     *
+     * @param format the newest form of stored values that the controller knows, see {@link StoredFormat}
+     */
+    record Presence(long incarnation, int format) implements Value {
+        public Presence(long incarnation) {
+            this(incarnation, StoredFormat.CURRENT);
+        }
+    }
 
     /** Changed by every launch for a team with a limit, so that launches for it are one after the other. */
     record TeamRecord(double cpus, double gpus) implements Value {}
@@ -117,7 +180,14 @@
      *
      * @param names the machines, if the record is about several; else its key names the one
      */
-    record MachineRecord(MachineFate fate, String reason, List<String> names) implements Value {}
+    record MachineRecord(MachineFate fate, String reason, List<String> names, UnknownFields unknown) implements Value {
+        public MachineRecord(MachineFate fate, String reason, List<String> names) {
+            this(fate, reason, names, UnknownFields.NONE);
+        }
+    }
+
+    /** A value that this version cannot read. Whatever depends on it is held until it can be read or is replaced. */
+    record Unreadable(String reason) implements Value {}
 
     /** What is to become of a machine. */
     enum MachineFate {
--- /dev/null
+++ b/src/main/java/dewlane/core/ValueSize.java
@@ -0,0 +1,7 @@
+package dewlane.core;
+
+/** Tells how many bytes a value takes in the state service. */
+public interface ValueSize {
+    /** Bytes of the value as it is stored. */
+    int bytes(Value value);
+}
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -8,6 +8,7 @@
 import dewlane.core.Settings;
 import dewlane.wire.PeerWire;
 import dewlane.wire.UserWire;
+import dewlane.wire.ValueCodec;
 import dewlane.wire.WorkerWire;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -79,7 +80,7 @@
     public Node(Settings settings, Endpoints endpoints, long seed) throws IOException {
         this.settings = settings;
         this.endpoints = endpoints;
-        this.controller = new Controller(settings, seed);
+        this.controller = new Controller(settings, seed, value -> ValueCodec.bytes(value).length);
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
--- a/src/main/java/dewlane/io/StateClient.java
+++ b/src/main/java/dewlane/io/StateClient.java
@@ -64,8 +64,8 @@
                 StateWire.Page page = StateWire.page(body);
                 rows.addAll(page.rows());
                 long from = first == 0 ? page.revision() : first;
-                if (page.more() && !page.rows().isEmpty()) {
-                    page(page.rows().get(page.rows().size() - 1).key(), rows, from);
+                if (page.more() && page.last() != null) {
+                    page(page.last(), rows, from);
                 } else {
                     core.accept(new Input.StateListed(rows, from, page.revision()));
                 }
@@ -105,7 +105,8 @@
                         case 200 -> Transaction.Status.COMMITTED;
                         case 409 -> Transaction.Status.CONFLICT;
                         case 400 -> Transaction.Status.INVALID;
-                        case 429, 503 -> Transaction.Status.REFUSED;
+                        case 429 -> Transaction.Status.OVER_RATE;
+                        case 503 -> Transaction.Status.REFUSED;
                         default -> Transaction.Status.UNKNOWN;
                     };
             long revision = 0;
--- /dev/null
+++ b/src/main/java/dewlane/wire/JobIdList.java
@@ -0,0 +1,91 @@
+package dewlane.wire;
+
+import java.math.BigInteger;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * A list of job ids in few bytes, as hundreds of them have to fit into the value of the job that awaits them. Ids are a
+ * prefix and digits; those with equally many digits are sorted and written as differences, five bits a character:
+ * {@code 6:differences;7:differences}.
+ */
+final class JobIdList {
+    private static final String PREFIX = "wk-";
+    /** The first half ends a number, the second half says that more of it follows. */
+    private static final String DIGITS = "0123456789ABCDEFGHIJKLMNOPQRSTUV" + "abcdefghijklmnopqrstuvwxyz!#$&*+";
+
+    private static final int BITS = 5;
+    private static final int MORE = 1 << BITS;
+
+    private JobIdList() {}
+
+    static String write(Collection<String> ids) {
+        Map<Integer, TreeSet<BigInteger>> byLength = new TreeMap<>();
+        for (String id : ids) {
+            String digits = id.substring(PREFIX.length());
+            byLength.computeIfAbsent(digits.length(), n -> new TreeSet<>()).add(new BigInteger(digits));
+        }
+        StringBuilder text = new StringBuilder();
+        byLength.forEach((length, numbers) -> {
+            text.append(text.length() == 0 ? "" : ";").append(length).append(':');
+            BigInteger last = BigInteger.ZERO;
+            for (BigInteger number : numbers) {
+                writeNumber(text, number.subtract(last));
+                last = number;
+            }
+        });
+        return text.toString();
+    }
+
+    private static void writeNumber(StringBuilder text, BigInteger number) {
+        BigInteger left = number;
+        BigInteger base = BigInteger.valueOf(MORE);
+        while (left.compareTo(base) >= 0) {
+            text.append(DIGITS.charAt(MORE + left.mod(base).intValue()));
+            left = left.shiftRight(BITS);
+        }
+        text.append(DIGITS.charAt(left.intValue()));
+    }
+
+    /** The ids of a list; throws {@link IllegalArgumentException} if the text is none. */
+    static List<String> read(String text) {
+        List<String> ids = new ArrayList<>();
+        if (text == null || text.isEmpty()) {
+            return List.of();
+        }
+        for (String group : text.split(";")) {
+            int colon = group.indexOf(':');
+            if (colon < 1) {
+                throw new IllegalArgumentException("not a list of job ids: " + group);
+            }
+            int length = Integer.parseInt(group.substring(0, colon));
+            BigInteger last = BigInteger.ZERO;
+            BigInteger difference = BigInteger.ZERO;
+            int shift = 0;
+            for (char c : group.substring(colon + 1).toCharArray()) {
+                int digit = DIGITS.indexOf(c);
+                if (digit < 0) {
+                    throw new IllegalArgumentException("not a list of job ids: " + c);
+                }
+                difference = difference.add(BigInteger.valueOf(digit % MORE).shiftLeft(shift));
+                shift += BITS;
+                if (digit < MORE) {
+                    last = last.add(difference);
+                    ids.add(id(last, length));
+                    difference = BigInteger.ZERO;
+                    shift = 0;
+                }
+            }
+        }
+        return List.copyOf(ids);
+    }
+
+    private static String id(BigInteger number, int length) {
+        String digits = number.toString();
+        return PREFIX + "0".repeat(Math.max(0, length - digits.length())) + digits;
+    }
+}
--- a/src/main/java/dewlane/wire/Json.java
+++ b/src/main/java/dewlane/wire/Json.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -88,6 +89,36 @@
         };
     }
 
+    /** Writes a value as {@link #object} reads it. */
+    static void writeValue(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> field : map.entrySet()) {
+                out.writeFieldName((String) field.getKey());
+                writeValue(out, field.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object element : list) {
+                writeValue(out, element);
+            }
+            out.writeEndArray();
+        } else if (value instanceof String text) {
+            out.writeString(text);
+        } else if (value instanceof Boolean flag) {
+            out.writeBoolean(flag);
+        } else if (value instanceof Long number) {
+            out.writeNumber(number);
+        } else if (value instanceof BigInteger number) {
+            out.writeNumber(number);
+        } else if (value instanceof Double number) {
+            out.writeNumber(number);
+        } else {
+            out.writeNull();
+        }
+    }
+
     static String string(Map<String, Object> of, String field) {
         return of.get(field) instanceof String s ? s : null;
     }
--- a/src/main/java/dewlane/wire/UserWire.java
+++ b/src/main/java/dewlane/wire/UserWire.java
@@ -6,8 +6,10 @@
 import dewlane.core.Priority;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /** The users' protocol. */
@@ -84,6 +86,7 @@
             }
         }
         String zone = in.get("cellar") == null ? null : text(in, "cellar");
+        List<String> awaits = awaits(in.get("awaits"));
         double deadline = in.get("shipByS") == null ? 0 : amount(in, "shipByS", false);
         return new Job(
                 uid,
@@ -105,7 +108,26 @@
                 amount(in, "rackingS", true),
                 amount(in, "corkingS", true),
                 deadline,
-                0);
+                0,
+                awaits);
+    }
+
+    /** Each awaited job once; more than a body holds cannot come, and what fits no stored value the core refuses. */
+    private static List<String> awaits(Object field) throws Malformed {
+        if (field == null) {
+            return List.of();
+        }
+        if (!(field instanceof List<?> list)) {
+            throw new Malformed("awaits must be null or a list of job ids");
+        }
+        Set<String> ids = new LinkedHashSet<>();
+        for (Object id : list) {
+            if (!(id instanceof String text) || !isUid(text)) {
+                throw new Malformed("awaits must be null or a list of job ids such as wk-000412");
+            }
+            ids.add(text);
+        }
+        return List.copyOf(ids);
     }
 
     private static String text(Map<String, Object> in, String field) throws Malformed {
--- /dev/null
+++ b/src/main/java/dewlane/wire/ValueCodec.java
@@ -0,0 +1,368 @@
+package dewlane.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import dewlane.core.Attempt;
+import dewlane.core.Job;
+import dewlane.core.Keys;
+import dewlane.core.Priority;
+import dewlane.core.StoredFormat;
+import dewlane.core.UnknownFields;
+import dewlane.core.Value;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The form in which values are kept in the state service. Version 0.1 reads and writes the same form: it ignores fields
+ * that it does not know and loses them when it rewrites a value, so a field that is new here is written only where it
+ * has something to say. Fields that this version does not know are kept.
+ */
+public final class ValueCodec {
+    private static final Set<String> JOB_FIELDS = Set.of(
+            "id",
+            "lot",
+            "team",
+            "priority",
+            "tasks",
+            "cpus",
+            "gpus",
+            "memory",
+            "image",
+            "imageGb",
+            "types",
+            "zone",
+            "oneZone",
+            "spread",
+            "spot",
+            "estimate",
+            "checkpoint",
+            "save",
+            "deadline",
+            "accepted",
+            "awaits",
+            "deals",
+            "aborted");
+    private static final Set<String> SLICE_FIELDS = Set.of("owner", "first", "count", "launches", "done", "live");
+    private static final Set<String> MAP_FIELDS = Set.of("epoch", "members", "moved", "loans");
+    private static final Set<String> MACHINE_FIELDS = Set.of("fate", "reason", "names");
+
+    private ValueCodec() {}
+
+    /** A value as it is kept. */
+    public static byte[] bytes(Value value) {
+        return Json.write(out -> encode(out, value));
+    }
+
+    static void encode(JsonGenerator out, Value value) throws IOException {
+        out.writeStartObject();
+        if (value instanceof Value.JobRecord v) {
+            jobRecord(out, v);
+        } else if (value instanceof Value.FinalRecord v) {
+            out.writeBooleanField("aborted", v.aborted());
+            out.writeNumberField("at", v.atMs());
+        } else if (value instanceof Value.Slice v) {
+            slice(out, v);
+        } else if (value instanceof Value.ClusterMap v) {
+            clusterMap(out, v);
+        } else if (value instanceof Value.Presence v) {
+            out.writeNumberField("incarnation", v.incarnation());
+            out.writeNumberField("format", v.format());
+        } else if (value instanceof Value.TeamRecord v) {
+            out.writeNumberField("cpus", v.cpus());
+            out.writeNumberField("gpus", v.gpus());
+        } else if (value instanceof Value.MachineRecord v) {
+            machineRecord(out, v);
+        } else {
+            throw new IllegalArgumentException("never written: " + value);
+        }
+        out.writeEndObject();
+    }
+
+    private static void jobRecord(JsonGenerator out, Value.JobRecord record) throws IOException {
+        job(out, record.job());
+        out.writeArrayFieldStart("deals");
+        for (Value.Deal deal : record.deals()) {
+            out.writeString(deal.owner());
+            out.writeNumber(deal.first());
+            out.writeNumber(deal.count());
+        }
+        out.writeEndArray();
+        if (record.aborted()) {
+            out.writeNumberField("aborted", record.abortedMs());
+        }
+        unknownFields(out, record.unknown());
+    }
+
+    private static void clusterMap(JsonGenerator out, Value.ClusterMap map) throws IOException {
+        out.writeNumberField("epoch", map.epoch());
+        out.writeObjectFieldStart("members");
+        for (Value.Member member : map.members()) {
+            out.writeNumberField(member.name(), member.incarnation());
+        }
+        out.writeEndObject();
+        out.writeObjectFieldStart("moved");
+        for (Map.Entry<String, String> moved : map.moved().entrySet()) {
+            out.writeStringField(moved.getKey(), moved.getValue());
+        }
+        out.writeEndObject();
+        if (!map.loans().isEmpty()) {
+            out.writeArrayFieldStart("loans");
+            for (Value.Loan loan : map.loans()) {
+                out.writeString(loan.team());
+                out.writeString(loan.node());
+                out.writeNumber(loan.cpus());
+                out.writeNumber(loan.gpus());
+            }
+            out.writeEndArray();
+        }
+        unknownFields(out, map.unknown());
+    }
+
+    private static void machineRecord(JsonGenerator out, Value.MachineRecord record) throws IOException {
+        out.writeStringField("fate", record.fate().name());
+        out.writeStringField("reason", record.reason());
+        if (!record.names().isEmpty()) {
+            out.writeArrayFieldStart("names");
+            for (String name : record.names()) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
+        }
+        unknownFields(out, record.unknown());
+    }
+
+    private static void unknownFields(JsonGenerator out, UnknownFields unknown) throws IOException {
+        for (Map.Entry<String, Object> field : unknown.byName().entrySet()) {
+            out.writeFieldName(field.getKey());
+            Json.writeValue(out, field.getValue());
+        }
+    }
+
+    /** The fields of an object that are not among the known ones. */
+    private static UnknownFields unknownFields(Map<String, Object> in, Set<String> known) {
+        Map<String, Object> unknown = null;
+        for (Map.Entry<String, Object> field : in.entrySet()) {
+            if (!known.contains(field.getKey())) {
+                unknown = unknown == null ? new HashMap<>() : unknown;
+                unknown.put(field.getKey(), field.getValue());
+            }
+        }
+        return unknown == null ? UnknownFields.NONE : new UnknownFields(unknown);
+    }
+
+    private static void job(JsonGenerator out, Job j) throws IOException {
+        out.writeStringField("id", j.id());
+        out.writeStringField("lot", j.lot());
+        out.writeStringField("team", j.team());
+        out.writeStringField("priority", j.priority().name());
+        out.writeNumberField("tasks", j.tasks());
+        out.writeNumberField("cpus", j.cpus());
+        out.writeNumberField("gpus", j.gpus());
+        out.writeNumberField("memory", j.memoryGb());
+        out.writeStringField("image", j.image());
+        out.writeNumberField("imageGb", j.imageGb());
+        out.writeArrayFieldStart("types");
+        for (String t : j.types()) {
+            out.writeString(t);
+        }
+        out.writeEndArray();
+        if (j.zone() != null) {
+            out.writeStringField("zone", j.zone());
+        }
+        out.writeBooleanField("oneZone", j.oneZone());
+        out.writeBooleanField("spread", j.spread());
+        out.writeBooleanField("spot", j.spot());
+        out.writeNumberField("estimate", j.estimateS());
+        out.writeNumberField("checkpoint", j.checkpointS());
+        out.writeNumberField("save", j.saveS());
+        out.writeNumberField("deadline", j.deadlineS());
+        out.writeNumberField("accepted", j.acceptedMs());
+        if (!j.awaits().isEmpty()) {
+            out.writeStringField("awaits", JobIdList.write(j.awaits()));
+        }
+    }
+
+    /**
+     * Attempts of one launch on one machine are one entry, and what a launch's entries share is written once: the value
+     * is written anew at each change and read by every controller.
+     */
+    private static void slice(JsonGenerator out, Value.Slice s) throws IOException {
+        out.writeStringField("owner", s.owner());
+        out.writeNumberField("first", s.first());
+        out.writeNumberField("count", s.count());
+        out.writeNumberField("launches", s.launches());
+        out.writeStringField("done", TaskRanges.write(s.done()));
+        Map<Launch, Map<Place, BitSet>> launches = new LinkedHashMap<>();
+        for (Attempt a : s.attempts()) {
+            launches.computeIfAbsent(new Launch(a.number(), a.launchedMs()), l -> new LinkedHashMap<>())
+                    .computeIfAbsent(new Place(a.machine(), a.session(), a.token()), p -> new BitSet())
+                    .set(a.task() - s.first());
+        }
+        out.writeArrayFieldStart("live");
+        for (Map.Entry<Launch, Map<Place, BitSet>> launch : launches.entrySet()) {
+            long token = launch.getValue().keySet().iterator().next().token();
+            out.writeStartArray();
+            out.writeNumber(launch.getKey().number());
+            out.writeNumber(launch.getKey().atMs());
+            out.writeNumber(token);
+            for (Map.Entry<Place, BitSet> place : launch.getValue().entrySet()) {
+                out.writeString(place.getKey().machine());
+                out.writeNumber(place.getKey().session());
+                out.writeNumber(place.getKey().token() - token);
+                out.writeString(TaskRanges.write(place.getValue()));
+            }
+            out.writeEndArray();
+        }
+        out.writeEndArray();
+        unknownFields(out, s.unknown());
+    }
+
+    /** What attempts of one launch share. */
+    private record Launch(int number, long atMs) {}
+
+    /** What attempts of one launch on one machine share. */
+    private record Place(String machine, long session, long token) {}
+
+    /** The value of a key, or {@link Value.Unreadable} if this version cannot make sense of it. */
+    static Value decode(String key, Map<String, Object> in) {
+        try {
+            if (key.startsWith(Keys.SLICES)) {
+                return slice(in);
+            } else if (key.startsWith(Keys.JOBS)) {
+                return new Value.JobRecord(
+                        job(in),
+                        deals(Json.list(in, "deals")),
+                        Json.whole(in, "aborted"),
+                        unknownFields(in, JOB_FIELDS));
+            } else if (key.startsWith(Keys.FINALS)) {
+                return finalRecord(in);
+            } else if (key.startsWith(Keys.MACHINES)) {
+                return new Value.MachineRecord(
+                        Value.MachineFate.valueOf(Json.string(in, "fate")),
+                        Json.string(in, "reason"),
+                        List.copyOf(Json.strings(in, "names")),
+                        unknownFields(in, MACHINE_FIELDS));
+            } else if (key.startsWith(Keys.PRESENCE)) {
+                long format = Json.whole(in, "format");
+                return new Value.Presence(
+                        Json.whole(in, "incarnation"), format == 0 ? StoredFormat.FIRST : (int) format);
+            } else if (key.startsWith(Keys.TEAMS)) {
+                return new Value.TeamRecord(Json.number(in, "cpus"), Json.number(in, "gpus"));
+            }
+            return clusterMap(in);
+        } catch (IllegalArgumentException | NullPointerException | ClassCastException | IndexOutOfBoundsException e) {
+            return new Value.Unreadable(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static Value.FinalRecord finalRecord(Map<String, Object> in) {
+        if (!(in.get("aborted") instanceof Boolean aborted)) {
+            throw new IllegalArgumentException("aborted is missing");
+        }
+        return new Value.FinalRecord(aborted, Json.whole(in, "at"));
+    }
+
+    private static Value.ClusterMap clusterMap(Map<String, Object> in) {
+        if (!(in.get("epoch") instanceof Long epoch) || !(in.get("members") instanceof Map<?, ?>)) {
+            throw new IllegalArgumentException("epoch or members are missing");
+        }
+        List<Value.Member> members = new ArrayList<>();
+        Json.object(in.get("members"))
+                .forEach((name, incarnation) -> members.add(new Value.Member(name, ((Number) incarnation).longValue())));
+        members.sort((a, b) -> a.name().compareTo(b.name()));
+        Map<String, String> moved = new HashMap<>();
+        Json.object(in.get("moved")).forEach((machine, taker) -> moved.put(machine, (String) taker));
+        return new Value.ClusterMap(
+                epoch,
+                List.copyOf(members),
+                Map.copyOf(moved),
+                loans(Json.list(in, "loans")),
+                unknownFields(in, MAP_FIELDS));
+    }
+
+    private static List<Value.Deal> deals(List<Object> in) {
+        List<Value.Deal> deals = new ArrayList<>();
+        for (int i = 0; i < in.size(); i += 3) {
+            deals.add(new Value.Deal(
+                    (String) in.get(i), ((Number) in.get(i + 1)).intValue(), ((Number) in.get(i + 2)).intValue()));
+        }
+        return List.copyOf(deals);
+    }
+
+    private static List<Value.Loan> loans(List<?> in) {
+        List<Value.Loan> loans = new ArrayList<>();
+        for (int i = 0; i < in.size(); i += 4) {
+            loans.add(new Value.Loan(
+                    (String) in.get(i),
+                    (String) in.get(i + 1),
+                    ((Number) in.get(i + 2)).doubleValue(),
+                    ((Number) in.get(i + 3)).doubleValue()));
+        }
+        return List.copyOf(loans);
+    }
+
+    private static Job job(Map<String, Object> in) {
+        if (!(in.get("tasks") instanceof Long tasks)) {
+            throw new IllegalArgumentException("tasks is missing");
+        }
+        if (in.get("awaits") != null && !(in.get("awaits") instanceof String)) {
+            throw new IllegalArgumentException("awaits is not a list of job ids");
+        }
+        return new Job(
+                Json.string(in, "id"),
+                Json.string(in, "lot"),
+                Json.string(in, "team"),
+                Priority.valueOf(Json.string(in, "priority")),
+                tasks.intValue(),
+                Json.number(in, "cpus"),
+                Json.number(in, "gpus"),
+                Json.number(in, "memory"),
+                Json.string(in, "image"),
+                Json.number(in, "imageGb"),
+                List.copyOf(Json.strings(in, "types")),
+                Json.string(in, "zone"),
+                Json.flag(in, "oneZone"),
+                Json.flag(in, "spread"),
+                Json.flag(in, "spot"),
+                Json.number(in, "estimate"),
+                Json.number(in, "checkpoint"),
+                Json.number(in, "save"),
+                Json.number(in, "deadline"),
+                Json.whole(in, "accepted"),
+                JobIdList.read(Json.string(in, "awaits")));
+    }
+
+    private static Value.Slice slice(Map<String, Object> in) {
+        if (!(in.get("first") instanceof Long from) || !(in.get("count") instanceof Long count)) {
+            throw new IllegalArgumentException("first or count is missing");
+        }
+        int first = from.intValue();
+        List<Attempt> attempts = new ArrayList<>();
+        for (Object o : Json.list(in, "live")) {
+            List<?> launch = (List<?>) o;
+            int number = ((Number) launch.get(0)).intValue();
+            long at = ((Number) launch.get(1)).longValue();
+            long token = ((Number) launch.get(2)).longValue();
+            for (int i = 3; i < launch.size(); i += 4) {
+                String machine = (String) launch.get(i);
+                long session = ((Number) launch.get(i + 1)).longValue();
+                long own = token + ((Number) launch.get(i + 2)).longValue();
+                BitSet tasks = TaskRanges.read((String) launch.get(i + 3));
+                tasks.stream().forEach(t -> attempts.add(new Attempt(first + t, number, machine, session, own, at)));
+            }
+        }
+        return new Value.Slice(
+                Json.string(in, "owner"),
+                first,
+                count.intValue(),
+                (int) Json.whole(in, "launches"),
+                TaskRanges.read(Json.string(in, "done")),
+                List.copyOf(attempts),
+                unknownFields(in, SLICE_FIELDS));
+    }
+}
