--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -1,8 +1,6 @@
 package dewlane.core;
 
-import dewlane.core.PeerStatus.PeerMachine;
 import dewlane.core.Replica.Delta;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -14,15 +12,11 @@
     private static final long PASS_MS = 80;
 
     private static final long QUIET_PASS_MS = 300;
-    /** Machines that one message to a peer tells of: a controller that is alone for a while may have all of them. */
-    private static final int MACHINES_A_PAGE = 300;
-
     /** Log lines about values that cannot be read: some at once, then one every ten seconds. */
     private static final double UNREADABLE_LINES_PER_S = 0.1;
 
     private static final double MOST_UNREADABLE_LINES = 10;
     private static final long SLOW_MS = 1000;
-    private static final long MOST_SLOWER = 2;
 
     private final Context context;
     private final Replica replica = new Replica(this::follow);
@@ -43,6 +37,7 @@
     private final ReadBarrier barrier;
     private final QuotaRebalancer lending;
     private final ScaleDown returns;
+    private final PeerBroadcast broadcast;
     private final RateLimit unreadableLog = new RateLimit(UNREADABLE_LINES_PER_S, MOST_UNREADABLE_LINES);
     private boolean listing;
     private long listedAt;
@@ -54,7 +49,6 @@
     private boolean dirty;
     private long passedAt = Long.MIN_VALUE / 2;
     private long slowAt = Long.MIN_VALUE / 2;
-    private long toldAt = Long.MIN_VALUE / 2;
 
     public Controller(Settings settings, long seed, ValueSize size) {
         context = new Context(settings, seed);
@@ -86,6 +80,7 @@
         attempts = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
         health = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
         returns = new ScaleDown(context, replica, machines, membership, transactions, placement, release);
+        broadcast = new PeerBroadcast(context, replica, membership, cancellations, placement);
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
         CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota, release);
         autoscaler = new Autoscaler(context, replica, machines, membership, inventory, demand);
@@ -221,10 +216,7 @@
         barrier.tick();
         dependencies.tick(caughtUp());
         dirty |= context.now() - passedAt >= QUIET_PASS_MS;
-        if (cancellations.takeNews() && membership.joined()) {
-            // Owners need not wait for their watch, which may be refused just now.
-            context.emit(new Effect.TellPeers(List.of(status(List.of()))));
-        }
+        broadcast.tick();
         if (context.now() - slowAt >= SLOW_MS) {
             slowAt = context.now();
             if (replica.map() != null) {
@@ -235,14 +227,7 @@
             autoscaler.tick();
             lending.tick();
             returns.tick();
-            // What peers are told costs each of them something, so the more there are, the seldomer.
-            if (context.now() - toldAt
-                    >= Math.min(
-                            SLOW_MS * MOST_SLOWER,
-                            SLOW_MS * context.settings().peers().size() / 3)) {
-                toldAt = context.now();
-                tellPeers();
-            }
+            broadcast.slowTick();
         }
     }
 
@@ -330,28 +315,4 @@
                     "the value of " + unread.key() + " cannot be read, what depends on it is held: " + unread.reason());
         }
     }
-
-    private void tellPeers() {
-        if (!membership.joined()) {
-            return;
-        }
-        List<PeerMachine> usable = new ArrayList<>();
-        for (Machine m : placement.usable()) {
-            usable.add(new PeerMachine(m.name, m.address, m.type, m.zone, m.spot, m.session, m.sequence));
-        }
-        List<PeerStatus> pages = new ArrayList<>();
-        for (int from = 0; from == 0 || from < usable.size(); from += MACHINES_A_PAGE) {
-            pages.add(status(usable.subList(from, Math.min(from + MACHINES_A_PAGE, usable.size()))));
-        }
-        context.emit(new Effect.TellPeers(pages));
-    }
-
-    private PeerStatus status(List<PeerMachine> page) {
-        return new PeerStatus(
-                context.settings().node(),
-                replica.map().epoch(),
-                membership.reachesState(),
-                cancellations.toTell(),
-                page);
-    }
 }
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -20,9 +20,6 @@
  * never used.
  */
 public final class Membership {
-    /** A machine that is dropped from those moved falls back to its part by hash; the map's value stays small. */
-    private static final int MOST_MOVED = 200;
-
     private static final long ISOLATED_MS = 2000;
     /** Without an answer for so long the state service counts as out of reach: leases are renewed more often. */
     private static final long REACHED_MS = 2000;
@@ -33,7 +30,7 @@
     private final Replica replica;
     private final Machines machines;
     private final TransactionQueue transactions;
-    private final ValueSize size;
+    private final MapBuilder maps;
     private final String self;
     /** Controllers that have shown, since this one started, that they know the present form of stored values. */
     private final Set<String> upgraded = new HashSet<>();
@@ -56,7 +53,7 @@
     private long claimedAt = Long.MIN_VALUE / 2;
 
     Membership(Context context, Replica replica, Machines machines, TransactionQueue transactions, ValueSize size) {
-        this.size = size;
+        this.maps = new MapBuilder(context, replica, size);
         this.context = context;
         this.replica = replica;
         this.machines = machines;
@@ -199,7 +196,7 @@
         write(
                 new Transaction.Builder()
                         .when(Keys.MAP, replica.mapVersion())
-                        .set(Keys.MAP, next(epoch, members, Map.of()))
+                        .set(Keys.MAP, maps.next(epoch, members, Map.of()))
                         .setLeased(Keys.presence(self), new Presence(epoch), lease)
                         .build(),
                 epoch);
@@ -233,7 +230,7 @@
         }
         if (left.size() < map.members().size()) {
             missingSince.clear();
-            write(txn.set(Keys.MAP, next(map.epoch() + 1, left, Map.of())).build(), joinedAs);
+            write(txn.set(Keys.MAP, maps.next(map.epoch() + 1, left, Map.of())).build(), joinedAs);
         }
     }
 
@@ -252,26 +249,10 @@
     }
 
     private void writeLoans() {
-        ClusterMap map = replica.map();
-        List<Loan> loans = new ArrayList<>(map.loans());
         // One that has left in the meantime would take its loan with it.
-        boolean there = lending.stream().allMatch(l -> map.has(l.node()));
-        for (Loan l : there ? lending : List.<Loan>of()) {
-            Loan had = loans.stream()
-                    .filter(o -> o.team().equals(l.team()) && o.node().equals(l.node()))
-                    .findFirst()
-                    .orElse(null);
-            loans.remove(had);
-            loans.add(had == null ? l : new Loan(l.team(), l.node(), had.cpus() + l.cpus(), had.gpus() + l.gpus()));
-        }
+        boolean there = lending.stream().allMatch(l -> replica.map().has(l.node()));
+        ClusterMap lent = maps.lent(there ? lending : List.of());
         lending.clear();
-        ClusterMap lent =
-                new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans), map.unknown());
-        if (!fits(lent)) {
-            // Equal shares take no room: whoever needs more borrows anew.
-            context.info("the map has no room for another loan, shares of teams' limits are equal again");
-            lent = shrunk(new ClusterMap(lent.epoch(), lent.members(), lent.moved(), List.of(), lent.unknown()));
-        }
         write(
                 new Transaction.Builder()
                         .when(Keys.MAP, replica.mapVersion())
@@ -288,62 +269,17 @@
             claimedAt = context.now();
             context.info("taking over machines that cannot reach their controller: " + claims);
             Map<String, String> claimed = new HashMap<>();
-            claims.stream().limit(MOST_MOVED).forEach(m -> claimed.put(m, self));
+            claims.stream().limit(MapBuilder.MOST_MOVED).forEach(m -> claimed.put(m, self));
             claims.removeAll(claimed.keySet());
             write(
                     new Transaction.Builder()
                             .when(Keys.MAP, replica.mapVersion())
-                            .set(Keys.MAP, next(map.epoch() + 1, map.members(), claimed))
+                            .set(Keys.MAP, maps.next(map.epoch() + 1, map.members(), claimed))
                             .build(),
                     joinedAs);
         }
     }
 
-    private ClusterMap next(long epoch, List<Member> members, Map<String, String> claimed) {
-        Map<String, String> moved = new HashMap<>(claimed);
-        if (replica.map() != null) {
-            replica.map().moved().forEach((machine, taker) -> {
-                boolean there = members.stream().anyMatch(m -> m.name().equals(taker));
-                if (there && !replica.machines().containsKey(machine) && moved.size() < MOST_MOVED) {
-                    moved.putIfAbsent(machine, taker);
-                }
-            });
-        }
-        // Shares are of as many controllers as there are.
-        boolean same = replica.map() != null && members.equals(replica.map().members());
-        return shrunk(new ClusterMap(
-                epoch,
-                List.copyOf(members),
-                Map.copyOf(moved),
-                same ? replica.map().loans() : List.of(),
-                replica.map() == null ? UnknownFields.NONE : replica.map().unknown()));
-    }
-
-    private boolean fits(ClusterMap map) {
-        return size.bytes(map) <= context.settings().valueBytes();
-    }
-
-    /**
-     * The map with as many moved machines as its value has room for. A machine that is dropped falls back to its part
-     * by hash, and is moved again if it still cannot reach that; loans go before the last of them.
-     */
-    private ClusterMap shrunk(ClusterMap map) {
-        ClusterMap fitting = map;
-        while (!fits(fitting) && !(fitting.moved().isEmpty() && fitting.loans().isEmpty())) {
-            Map<String, String> half = new HashMap<>();
-            fitting.moved().entrySet().stream()
-                    .limit(fitting.moved().size() / 2)
-                    .forEach(e -> half.put(e.getKey(), e.getValue()));
-            fitting = new ClusterMap(
-                    map.epoch(),
-                    map.members(),
-                    Map.copyOf(half),
-                    half.isEmpty() ? List.of() : fitting.loans(),
-                    map.unknown());
-        }
-        return fitting;
-    }
-
     private void write(Transaction txn, long incarnation) {
         writing = true;
         transactions.submit(TransactionQueue.Urgency.MEMBERSHIP, txn, (status, revision) -> {
--- a/src/main/java/dewlane/wire/ValueCodec.java
+++ b/src/main/java/dewlane/wire/ValueCodec.java
@@ -2,9 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import dewlane.core.Attempt;
-import dewlane.core.Job;
 import dewlane.core.Keys;
-import dewlane.core.Priority;
 import dewlane.core.StoredFormat;
 import dewlane.core.UnknownFields;
 import dewlane.core.Value;
@@ -23,30 +21,6 @@
  * has something to say. Fields that this version does not know are kept.
  */
 public final class ValueCodec {
-    private static final Set<String> JOB_FIELDS = Set.of(
-            "id",
-            "lot",
-            "team",
-            "priority",
-            "tasks",
-            "cpus",
-            "gpus",
-            "memory",
-            "image",
-            "imageGb",
-            "types",
-            "zone",
-            "oneZone",
-            "spread",
-            "spot",
-            "estimate",
-            "checkpoint",
-            "save",
-            "deadline",
-            "accepted",
-            "awaits",
-            "deals",
-            "aborted");
     private static final Set<String> SLICE_FIELDS = Set.of("owner", "first", "count", "launches", "done", "live");
     private static final Set<String> MAP_FIELDS = Set.of("epoch", "members", "moved", "loans");
     private static final Set<String> MACHINE_FIELDS = Set.of("fate", "reason", "names");
@@ -84,7 +58,7 @@
     }
 
     private static void jobRecord(JsonGenerator out, Value.JobRecord record) throws IOException {
-        job(out, record.job());
+        JobCodec.write(out, record.job());
         out.writeArrayFieldStart("deals");
         for (Value.Deal deal : record.deals()) {
             out.writeString(deal.owner());
@@ -155,38 +129,6 @@
         return unknown == null ? UnknownFields.NONE : new UnknownFields(unknown);
     }
 
-    private static void job(JsonGenerator out, Job j) throws IOException {
-        out.writeStringField("id", j.id());
-        out.writeStringField("lot", j.lot());
-        out.writeStringField("team", j.team());
-        out.writeStringField("priority", j.priority().name());
-        out.writeNumberField("tasks", j.tasks());
-        out.writeNumberField("cpus", j.cpus());
-        out.writeNumberField("gpus", j.gpus());
-        out.writeNumberField("memory", j.memoryGb());
-        out.writeStringField("image", j.image());
-        out.writeNumberField("imageGb", j.imageGb());
-        out.writeArrayFieldStart("types");
-        for (String t : j.types()) {
-            out.writeString(t);
-        }
-        out.writeEndArray();
-        if (j.zone() != null) {
-            out.writeStringField("zone", j.zone());
-        }
-        out.writeBooleanField("oneZone", j.oneZone());
-        out.writeBooleanField("spread", j.spread());
-        out.writeBooleanField("spot", j.spot());
-        out.writeNumberField("estimate", j.estimateS());
-        out.writeNumberField("checkpoint", j.checkpointS());
-        out.writeNumberField("save", j.saveS());
-        out.writeNumberField("deadline", j.deadlineS());
-        out.writeNumberField("accepted", j.acceptedMs());
-        if (!j.awaits().isEmpty()) {
-            out.writeStringField("awaits", JobIdList.write(j.awaits()));
-        }
-    }
-
     /**
      * Attempts of one launch on one machine are one entry, and what a launch's entries share is written once: the value
      * is written anew at each change and read by every controller.
@@ -235,10 +177,10 @@
                 return slice(in);
             } else if (key.startsWith(Keys.JOBS)) {
                 return new Value.JobRecord(
-                        job(in),
+                        JobCodec.read(in),
                         deals(Json.list(in, "deals")),
                         Json.whole(in, "aborted"),
-                        unknownFields(in, JOB_FIELDS));
+                        unknownFields(in, JobCodec.FIELDS));
             } else if (key.startsWith(Keys.FINALS)) {
                 return finalRecord(in);
             } else if (key.startsWith(Keys.MACHINES)) {
@@ -307,37 +249,6 @@
         return List.copyOf(loans);
     }
 
-    private static Job job(Map<String, Object> in) {
-        if (!(in.get("tasks") instanceof Long tasks)) {
-            throw new IllegalArgumentException("tasks is missing");
-        }
-        if (in.get("awaits") != null && !(in.get("awaits") instanceof String)) {
-            throw new IllegalArgumentException("awaits is not a list of job ids");
-        }
-        return new Job(
-                Json.string(in, "id"),
-                Json.string(in, "lot"),
-                Json.string(in, "team"),
-                Priority.valueOf(Json.string(in, "priority")),
-                tasks.intValue(),
-                Json.number(in, "cpus"),
-                Json.number(in, "gpus"),
-                Json.number(in, "memory"),
-                Json.string(in, "image"),
-                Json.number(in, "imageGb"),
-                List.copyOf(Json.strings(in, "types")),
-                Json.string(in, "zone"),
-                Json.flag(in, "oneZone"),
-                Json.flag(in, "spread"),
-                Json.flag(in, "spot"),
-                Json.number(in, "estimate"),
-                Json.number(in, "checkpoint"),
-                Json.number(in, "save"),
-                Json.number(in, "deadline"),
-                Json.whole(in, "accepted"),
-                JobIdList.read(Json.string(in, "awaits")));
-    }
-
     private static Value.Slice slice(Map<String, Object> in) {
         if (!(in.get("first") instanceof Long from) || !(in.get("count") instanceof Long count)) {
             throw new IllegalArgumentException("first or count is missing");
--- a/src/test/java/dewlane/sim/Scenarios.java
+++ b/src/test/java/dewlane/sim/Scenarios.java
@@ -50,7 +50,7 @@
     }
 
     static SimNode leader(World world) {
-        return RandomRunsTest.leader(world, null);
+        return Troubles.leader(world, null);
     }
 
     static SimNode other(World world, SimNode than) {
--- a/src/test/java/dewlane/sim/SimState.java
+++ b/src/test/java/dewlane/sim/SimState.java
@@ -2,7 +2,6 @@
 
 import dewlane.core.Input;
 import dewlane.core.Keys;
-import dewlane.core.StateLimits;
 import dewlane.core.Transaction;
 import dewlane.core.Value;
 import dewlane.wire.StateWire;
@@ -61,16 +60,14 @@
     int requests;
 
     int requestsRefused;
-    private StateLimits.Limits limits;
-    /** Transactions that were larger than the limits in force. */
-    int calledInvalid;
+    final SimLimits limits;
 
     private long revision;
     private long nextLease = 1;
 
     SimState(World world) {
         this.world = world;
-        this.limits = world.settings.state().present();
+        this.limits = new SimLimits(world);
         world.every(50, this::expire);
     }
 
@@ -155,44 +152,8 @@
         watches.addAll(left);
     }
 
-    /** From now on the limits are those that the settings name as the next ones. */
-    void shrink() {
-        limits = world.settings.state().next();
-    }
-
-    private boolean tooLarge(Transaction txn) {
-        return txn.apply().size() > limits.txnOps()
-                || txn.when().size() > 4 * limits.txnOps()
-                || StateWire.txn(txn).length > 65_536
-                || txn.apply().stream()
-                        .anyMatch(w -> w.value() != null && ValueCodec.bytes(w.value()).length > limits.valueBytes());
-    }
-
-    /**
-     * A controller that knows the coming limits keeps within them from its start. Only what is stored already may stay
-     * larger for a while, and only become smaller.
-     */
-    private void checkWithinBothLimits(SimNode node, Transaction txn) {
-        if (node.production) {
-            return;
-        }
-        int ops = world.settings.txnOps();
-        if (txn.apply().size() > ops || txn.when().size() > 4 * ops) {
-            throw new AssertionError(node.name + " sends a transaction of "
-                    + txn.apply().size() + " changes and " + txn.when().size() + " conditions");
-        }
-        for (Transaction.Write w : txn.apply()) {
-            int bytes = w.value() == null ? 0 : ValueCodec.bytes(w.value()).length;
-            Value stored = get(w.key());
-            int before = stored == null ? 0 : ValueCodec.bytes(stored).length;
-            if (bytes > world.settings.valueBytes() && bytes > before) {
-                throw new AssertionError(node.name + " sends a value of " + bytes + " bytes for " + w.key());
-            }
-        }
-    }
-
     void txn(SimNode node, long id, Transaction txn) {
-        checkWithinBothLimits(node, txn);
+        limits.check(node, txn);
         if (lateWrites > 0 && world.chance(lateWrites) && node.stateReachable()) {
             int of = node.life;
             world.after(world.between(2000, 12_000), () -> {
@@ -233,11 +194,10 @@
     }
 
     private Input apply(long id, Transaction txn) {
-        if (!writeRate.take(txn.apply().size(), limits.writeRps(), world.now())) {
+        if (!writeRate.take(txn.apply().size(), limits.now().writeRps(), world.now())) {
             return new Input.TxnAnswer(id, Transaction.Status.OVER_RATE, 0);
         }
-        if (tooLarge(txn)) {
-            calledInvalid++;
+        if (limits.exceededBy(txn)) {
             return new Input.TxnAnswer(id, Transaction.Status.INVALID, 0);
         }
         for (Transaction.Write w : txn.apply()) {
--- /dev/null
+++ b/src/test/java/dewlane/sim/Troubles.java
@@ -0,0 +1,196 @@
+package dewlane.sim;
+
+import dewlane.core.Keys;
+import java.util.List;
+
+/** Failures of every kind, for the random runs. */
+final class Troubles {
+    private Troubles() {}
+
+    /** One trouble, chosen at random, that ends by itself. */
+    static void strike(World world) {
+        List<SimNode> nodes = List.copyOf(world.nodes.values());
+        SimNode node = nodes.get(world.random.nextInt(nodes.size()));
+        List<SimWorker> machines = world.cloud.machines.values().stream()
+                .filter(m -> !m.gone && m.up)
+                .toList();
+        SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
+        int which = world.random.nextInt(39);
+        world.trace("strike " + which + " " + node.name + " " + (machine == null ? "" : machine.name));
+        switch (which) {
+            case 0, 1 -> crash(world, node, world.between(100, 9000));
+            case 2 -> nodes.forEach(n -> crash(world, n, world.between(100, 6000)));
+            case 3 -> {
+                crash(world, node, 200);
+                world.after(700, () -> crash(world, node, 300));
+            }
+            case 4 -> world.state.outage(world.between(1000, 12_000));
+            case 5 -> {
+                world.state.refused.add(node.name);
+                world.after(world.between(2000, 25_000), () -> world.state.refused.remove(node.name));
+            }
+            case 6 -> {
+                node.cutFromState = true;
+                world.after(world.between(2000, 25_000), () -> node.cutFromState = false);
+            }
+            case 7 -> {
+                node.cutFromWorkers = true;
+                world.after(world.between(2000, 25_000), () -> node.cutFromWorkers = false);
+            }
+            case 8, 9 -> {
+                if (machine != null) {
+                    world.trace("vanish " + machine.name);
+                    machine.vanish();
+                }
+            }
+            case 10, 11 -> {
+                hang(world, machine, world.between(2000, 40_000));
+            }
+            case 12, 13 -> {
+                if (machine != null) {
+                    machine.cut = true;
+                    world.after(world.between(2000, 40_000), () -> machine.cut = false);
+                }
+            }
+            case 14 -> {
+                if (machine != null) {
+                    machine.sick = true;
+                    world.after(30_000, () -> machine.sick = false);
+                }
+            }
+            case 15 -> {
+                world.cloud.out = true;
+                world.after(world.between(2000, 15_000), () -> world.cloud.out = false);
+            }
+            case 16, 17 -> {
+                if (machine != null) {
+                    if (world.chance(0.5)) {
+                        machine.deaf = true;
+                    } else {
+                        machine.deafTo = node.name;
+                    }
+                    world.after(world.between(2000, 60_000), () -> {
+                        machine.deaf = false;
+                        machine.deafTo = null;
+                    });
+                }
+            }
+            case 18, 19 -> {
+                node.cutFromState = true;
+                node.cutFromPeers = true;
+                world.after(world.between(5000, 45_000), () -> {
+                    node.cutFromState = false;
+                    node.cutFromPeers = false;
+                });
+            }
+            case 20 -> {
+                // Back at once, and then again in the middle of what the first return set off.
+                nodes.forEach(n -> crash(world, n, world.between(50, 400)));
+                world.after(
+                        world.between(500, 1500), () -> nodes.forEach(n -> crash(world, n, world.between(50, 400))));
+            }
+            case 21 -> {
+                if (machine != null) {
+                    for (SimNode to : nodes) {
+                        machine.copyLate(machine.report(), to, world.between(500, 80_000));
+                    }
+                }
+            }
+            case 22, 23 -> node.freeze(world.between(1500, 40_000));
+            case 24 -> {
+                world.state.slowMs = world.between(200, 1200);
+                world.after(world.between(5000, 30_000), () -> world.state.slowMs = 0);
+            }
+            case 25 -> {
+                // Half of a zone at once: dead, hanging or cut off, with what was on its way held back.
+                String zone = world.chance(0.5) ? "east" : "west";
+                int how = world.random.nextInt(3);
+                for (SimWorker m : machines) {
+                    if (m.zone.equals(zone) && world.chance(0.5)) {
+                        switch (how) {
+                            case 0 -> m.vanish();
+                            case 1 -> hang(world, m, world.between(5000, 40_000));
+                            default -> {
+                                m.cut = true;
+                                world.after(world.between(5000, 40_000), () -> m.cut = false);
+                            }
+                        }
+                    }
+                }
+            }
+            case 26, 27 -> {
+                nodes.forEach(n -> n.cutFromPeers = true);
+                world.after(world.between(2000, 30_000), () -> nodes.forEach(n -> n.cutFromPeers = false));
+            }
+            case 28, 29 -> {
+                world.state.lateWrites = 0.3;
+                world.after(world.between(5000, 25_000), () -> world.state.lateWrites = 0);
+            }
+            case 30, 31 -> {
+                if (machine != null) {
+                    machine.mute = true;
+                    world.after(world.between(5000, 50_000), () -> machine.mute = false);
+                }
+            }
+            case 32, 33 -> {
+                // Called off at once, and some of their machines hang.
+                for (String id : world.users.cancelSome(3)) {
+                    machines.stream()
+                            .filter(m -> m.running(id) > 0)
+                            .findAny()
+                            .ifPresent(m -> hang(world, m, world.between(5000, 40_000)));
+                }
+            }
+            case 34 -> {
+                world.users.cancelAtEnd = 0.5;
+                world.after(20_000, () -> world.users.cancelAtEnd = 0);
+            }
+            case 35 -> {
+                // The gap: one alone is refused, others confirm cancellations, then it is out for all for longer than
+                // cancel_s.
+                SimNode leader = leader(world, node);
+                world.state.refused.add(leader.name);
+                world.after(world.between(100, 1500), () -> world.users.cancelSome(3));
+                world.after(
+                        2000,
+                        () -> world.state.outage(
+                                (long) (world.settings.cancelS() * 1000) + world.between(2000, 12_000)));
+                world.after(14_000, () -> world.state.refused.remove(leader.name));
+            }
+            case 36 -> {
+                for (int i = 0; i < 8; i++) {
+                    world.after(i * 4000L, () -> crash(world, leader(world, node), world.between(200, 5000)));
+                }
+            }
+            case 37 ->
+                nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
+            default -> {
+                world.trouble = 0.2;
+                world.after(5000, () -> world.trouble = world.now() < RandomRunsTest.STORM_MS ? 0.02 : 0);
+            }
+        }
+    }
+
+    /**
+     * A machine hangs once, for less than a cancellation has: with one that hung for longer, all controllers gone and
+     * the state service out, nobody would be left who could know what to end. ScenarioTest and MeetingsTest have longer
+     * ones.
+     */
+    private static void hang(World world, SimWorker machine, int ms) {
+        if (machine != null && machine.hangsUntil == 0) {
+            machine.hangsUntil = world.now() + ms;
+        }
+    }
+
+    /** The controller that leads the fleet, or another if there is none. */
+    static SimNode leader(World world, SimNode other) {
+        String name = dewlane.core.Partitions.leader((dewlane.core.Value.ClusterMap) world.state.get(Keys.MAP));
+        return name == null ? other : world.nodes.get(name);
+    }
+
+    private static void crash(World world, SimNode node, long backAfterMs) {
+        if (node.alive) {
+            node.crash(backAfterMs);
+        }
+    }
+}
--- a/src/test/java/dewlane/sim/UpgradeTest.java
+++ b/src/test/java/dewlane/sim/UpgradeTest.java
@@ -84,13 +84,13 @@
         world.run(25_000);
         assertTrue(largestSlice(world) > valueBytes, largestSlice(world) + " bytes are the most that is stored");
         upgradeAll(world, 3000);
-        world.state.shrink();
+        world.state.limits.shrink();
         world.run(world.now() + 60_000);
         // Another controller goes on where one that was cutting ended.
         world.nodes.get("n1").crash(4000);
         calm(world, 400_000);
         assertEquals(1200, world.checker.starts, "every task ran once");
-        assertEquals(0, world.state.calledInvalid, "nothing larger than the new limits was sent after they came");
+        assertEquals(0, world.state.limits.exceeded, "nothing larger than the new limits was sent after they came");
     }
 
     /** The shrinking may come while a controller that is down has not shown yet which version it is. */
@@ -104,7 +104,7 @@
         world.nodes.get("n0").upgrade(2000);
         world.nodes.get("n1").upgrade(3000);
         world.run(world.now() + 10_000);
-        world.state.shrink();
+        world.state.limits.shrink();
         calm(world, 500_000);
         assertEquals(150, world.checker.starts);
     }
