--- a/src/main/java/dewlane/core/Dependencies.java
+++ b/src/main/java/dewlane/core/Dependencies.java
@@ -94,8 +94,10 @@
         logFailed(failed, job.id);
         if (!awaits.isEmpty() && !release.isReady(job.id) && !release.hasFailed(job.id)) {
             Collection<String> waitsFor = release.sources(job.id);
-            context.info("job " + job.id + " waits for " + waitsFor.size() + " jobs: "
-                    + waitsFor.stream().limit(MOST_NAMED).toList());
+            say(
+                    job.id,
+                    "job " + job.id + " waits for " + waitsFor.size() + " jobs: "
+                            + waitsFor.stream().limit(MOST_NAMED).toList());
         }
     }
 
@@ -155,10 +157,11 @@
                 .filter(dependant -> !release.isReady(dependant))
                 .toList();
         release.finish(id, Result.DONE);
-        waiting.stream()
-                .filter(release::isReady)
-                .forEach(dependant -> context.info(
-                        "job " + dependant + " may start: " + id + " is done, the last one" + " that it awaited"));
+        for (String dependant : waiting) {
+            if (release.isReady(dependant)) {
+                say(dependant, "job " + dependant + " may start: " + id + " is done, the last one that it awaited");
+            }
+        }
     }
 
     private void fail(String id) {
@@ -169,7 +172,14 @@
     }
 
     private void logFailed(List<String> failed, String through) {
-        failed.forEach(job -> context.info("job " + job + " is cancelled through " + through));
+        failed.forEach(job -> say(job, "job " + job + " is cancelled through " + through));
+    }
+
+    /** All controllers see the same, so the one that also ends the job says it. */
+    private void say(String job, String text) {
+        if (context.settings().node().equals(Partitions.owner(replica.map(), Keys.job(job)))) {
+            context.info(text);
+        }
     }
 
     /** A job that needs the source has come, or is expected to end earlier. */
--- a/src/main/java/dewlane/core/JobUpdate.java
+++ b/src/main/java/dewlane/core/JobUpdate.java
@@ -14,9 +14,6 @@
  * machines, all within the changes and conditions that a transaction may have.
  */
 final class JobUpdate {
-    /** Conditions on the job and the map. */
-    private static final int FIXED_GUARDS = 2;
-
     final JobEntry job;
     final JobProgress work;
     final List<JobProgress.Launch> launched = new ArrayList<>();
@@ -81,10 +78,6 @@
         return changed.isEmpty() && created.isEmpty();
     }
 
-    boolean uses(Machine machine) {
-        return machines.contains(machine.name);
-    }
-
     boolean usesNoMachine() {
         return machines.isEmpty();
     }
@@ -99,12 +92,6 @@
         return changed.containsKey(slice) || opsLeft() > 0;
     }
 
-    /** True if the write may depend on one more machine, besides a slice that is about to be changed. */
-    boolean hasRoomForMachine() {
-        int guards = FIXED_GUARDS + changed.size() + created.size() + unchanged.size() + machines.size() + 1;
-        return guards < mostGuards;
-    }
-
     /** Leaves out what goes beyond the changes of a transaction; it follows in the next write. */
     void trim() {
         int kept = 0;
@@ -137,9 +124,12 @@
             txn.when(key, 0).set(key, value);
         });
         if (bound) {
-            // A cancelled job, a slice dealt anew, a machine being returned or a newer map each stop a launch here.
+            // A cancelled job, a slice dealt anew or a newer map each stop a launch here.
             txn.when(Keys.job(job.id), job.version()).when(Keys.MAP, mapVersion);
-            machines.forEach(name -> txn.when(Keys.machine(name), 0));
+            // A record of the leader's means that the machine is gone or is being deleted: a launch there would be
+            // lost, not run twice, so what the transaction has no room for is left out.
+            int room = Math.max(0, mostGuards - txn.guards());
+            machines.stream().limit(room).forEach(name -> txn.when(Keys.machine(name), 0));
         }
     }
 }
--- a/src/main/java/dewlane/core/LaunchPlanner.java
+++ b/src/main/java/dewlane/core/LaunchPlanner.java
@@ -149,9 +149,6 @@
             if (left <= 0) {
                 break;
             }
-            if (!update.uses(m) && !update.hasRoomForMachine()) {
-                return new Placed(live, true);
-            }
             int here = Math.min(left, m.room(machines.type(m), spec));
             while (here-- > 0 && zoneAllowed(spec, zones, m.zone)) {
                 Attempt a = new Attempt(
