--- a/src/main/java/dewlane/core/JobDistributor.java
+++ b/src/main/java/dewlane/core/JobDistributor.java
@@ -216,13 +216,15 @@
 
     /** Tasks whose attempts one value holds, on machines that are half free. */
     private int tasksPerSlice(Job job) {
-        int fewest = Integer.MAX_VALUE;
+        int types = 0;
+        int fit = 0;
         for (MachineType type : machines.types()) {
             if (job.allowsType(type.name()) && type.fits(job) > 0) {
-                fewest = Math.min(fewest, type.fits(job));
+                types++;
+                fit += type.fits(job);
             }
         }
-        int perMachine = fewest == Integer.MAX_VALUE ? 1 : Math.max(1, fewest / 2);
+        int perMachine = types == 0 ? 1 : Math.max(1, fit / types / 2);
         return SliceSize.tasksWithin(context.settings().valueBytes(), perMachine);
     }
 
--- a/src/main/java/dewlane/core/JobProgress.java
+++ b/src/main/java/dewlane/core/JobProgress.java
@@ -19,8 +19,8 @@
     }
 
     final Map<Machine.Key, Outcome> outcomes = new HashMap<>();
-    /** When the first of the outcomes came that are still to be made durable. */
-    long outcomesSince;
+    /** By slice, since when outcomes gather that are still to be made durable. */
+    private final Map<Integer, Long> gatheringSince = new HashMap<>();
     /** Launches in the write under way, or in one that the replica does not show yet. */
     final List<Launch> launching = new ArrayList<>();
 
@@ -47,6 +47,21 @@
         return failedOn.size() >= 3;
     }
 
+    /** An outcome of the slice is to be made durable. */
+    void gather(int slice, long now) {
+        gatheringSince.putIfAbsent(slice, now);
+    }
+
+    /** Since when outcomes of the slice gather. */
+    long gatheringSince(int slice, long now) {
+        return gatheringSince.getOrDefault(slice, now);
+    }
+
+    /** What comes from now on gathers anew: outcomes in a write stay listed until the replica shows them. */
+    void gatherAnew(int slice) {
+        gatheringSince.remove(slice);
+    }
+
     boolean busy(long revision, long now) {
         return writing || revision < settled || now < pausedUntil;
     }
--- a/src/main/java/dewlane/core/JobUpdate.java
+++ b/src/main/java/dewlane/core/JobUpdate.java
@@ -3,7 +3,6 @@
 import dewlane.core.Value.Slice;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +16,9 @@
     final JobEntry job;
     final JobProgress work;
     final List<JobProgress.Launch> launched = new ArrayList<>();
+    /** Slices with the outcomes that are known here; they need not all be written now. */
+    private final Map<SliceEntry, Slice> withOutcomes = new LinkedHashMap<>();
+    /** Slices that are written. */
     private final Map<SliceEntry, Slice> changed = new LinkedHashMap<>();
     /** New slices by their numbers. */
     private final Map<Integer, Slice> created = new LinkedHashMap<>();
@@ -39,9 +41,19 @@
         this.nextNumber = job.nextSlice();
     }
 
-    /** The slice as this write leaves it. */
+    /** The slice with the outcomes that are known here, and with what this write decides. */
     Slice value(SliceEntry slice) {
-        return changed.getOrDefault(slice, slice.value());
+        Slice decided = changed.get(slice);
+        return decided != null ? decided : withOutcomes.getOrDefault(slice, slice.value());
+    }
+
+    /** Outcomes of the slice are known. */
+    void apply(SliceEntry slice, Slice value) {
+        withOutcomes.put(slice, value);
+    }
+
+    Map<SliceEntry, Slice> withOutcomes() {
+        return withOutcomes;
     }
 
     void put(SliceEntry slice, Slice value) {
@@ -92,17 +104,6 @@
         return changed.containsKey(slice) || opsLeft() > 0;
     }
 
-    /** Leaves out what goes beyond the changes of a transaction; it follows in the next write. */
-    void trim() {
-        int kept = 0;
-        for (Iterator<SliceEntry> i = changed.keySet().iterator(); i.hasNext(); ) {
-            i.next();
-            if (++kept > mostOps) {
-                i.remove();
-            }
-        }
-    }
-
     boolean noneLive() {
         return job.slices().stream().allMatch(s -> value(s).attempts().isEmpty());
     }
--- a/src/main/java/dewlane/core/JobWriter.java
+++ b/src/main/java/dewlane/core/JobWriter.java
@@ -19,7 +19,7 @@
     /** How long outcomes gather, and how long while the rate of changes is short. */
     private static final long GATHER_MS = 1000;
 
-    private static final long GATHER_SCARCE_MS = 5000;
+    private static final long GATHER_SCARCE_MS = 15_000;
     /** The same where the team's limit is lent by what is durable. */
     private static final long GATHER_LENT_MS = 3000;
     /** How long a job rests after a write about it was called invalid. */
@@ -85,16 +85,18 @@
         if ((job.aborted() ? update.noneLive() : update.allDone()) && end(update)) {
             return;
         }
-        update.trim();
-        boolean decided = cutLargeSlices(update);
-        if (!decided
+        boolean cut = cutLargeSlices(update);
+        if (!cut
                 && !cancellations.ended(job)
                 && launches
                 && context.now() >= work.notBefore
                 && transactions.open(TransactionQueue.Urgency.LAUNCH)) {
-            decided = planner.plan(update);
+            planner.plan(update);
         }
-        if (!update.isEmpty() && (decided || !mayGather(update))) {
+        if (!cut) {
+            addDueOutcomes(update);
+        }
+        if (!update.isEmpty()) {
             Transaction.Builder txn = new Transaction.Builder();
             update.write(txn, replica.mapVersion());
             if (!update.launched.isEmpty()) {
@@ -108,7 +110,7 @@
         for (SliceEntry slice : update.job.slices()) {
             Slice after = applyOutcomes(update.job, slice.value(), update.work);
             if (after != slice.value()) {
-                update.put(slice, after);
+                update.apply(slice, after);
             }
         }
     }
@@ -144,10 +146,15 @@
         for (SliceEntry slice : update.job.slices()) {
             Slice value = update.value(slice);
             boolean mine = self.equals(Partitions.owner(replica.map(), slice.key, value));
-            if (mayBeLarge(value) && (mine || update.changed().containsKey(slice))) {
+            if (mayBeLarge(value) && (mine || update.withOutcomes().containsKey(slice))) {
                 List<Slice> pieces =
                         SliceSplitter.split(value, context.settings().valueBytes());
-                cut |= pieces.size() > 1 && cut(update, slice, value, pieces, mine);
+                if (pieces.size() > 1 && cut(update, slice, value, pieces, mine)) {
+                    cut = true;
+                } else if (pieces.size() > 1) {
+                    // Its outcomes are written once it is cut: as it is, no value may be so large.
+                    update.withOutcomes().remove(slice);
+                }
             }
         }
         return cut;
@@ -159,7 +166,6 @@
     }
 
     private boolean cut(JobUpdate update, SliceEntry slice, Slice value, List<Slice> pieces, boolean mine) {
-        update.changed().remove(slice);
         int room = update.opsLeft();
         if (pieces.size() <= room) {
             update.put(slice, pieces.get(0));
@@ -180,18 +186,37 @@
         return true;
     }
 
+    /** Outcomes that have gathered for long enough are written, as many as the transaction has room for. */
+    private void addDueOutcomes(JobUpdate update) {
+        update.withOutcomes().forEach((slice, value) -> {
+            if (update.mayChange(slice) && !update.changed().containsKey(slice) && isDue(update, slice, value)) {
+                update.put(slice, value);
+            }
+        });
+    }
+
     /**
-     * Outcomes of tasks whose slice has others running can wait for more, as each change is read by every controller:
-     * the room of what ended is free already. Not so under a limit that is lent by what is durable.
+     * Outcomes of tasks whose slice has others to come can wait for more, as each change is read by every controller:
+     * the room of what ended is free already. Not so under a limit that is lent by what is durable. What is launched of
+     * a slice is written with its outcomes, so those cost no change of their own.
      */
-    private boolean mayGather(JobUpdate update) {
-        JobProgress work = update.work;
+    private boolean isDue(JobUpdate update, SliceEntry slice, Slice value) {
         boolean lent = quota.lends(update.job.job());
         long most = transactions.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
-        return context.now() - work.outcomesSince < most
-                && work.outcomes.values().stream().allMatch(o -> o == Outcome.DONE)
-                && update.changed().values().stream()
-                        .anyMatch(s -> !s.attempts().isEmpty());
+        return value.complete()
+                || update.job.aborted() && value.attempts().isEmpty()
+                || context.now() - update.work.gatheringSince(slice.number, context.now()) >= most
+                || hasToRunAgain(update, slice);
+    }
+
+    private static boolean hasToRunAgain(JobUpdate update, SliceEntry slice) {
+        for (Attempt a : slice.value().attempts()) {
+            Outcome outcome = update.work.outcomes.get(new Key(update.job.id, a.task(), a.number()));
+            if (outcome != null && outcome != Outcome.DONE) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Where several controllers made the last outcomes durable, one of them ends the job, so that they do not race. */
@@ -209,17 +234,17 @@
      */
     private boolean end(JobUpdate update) {
         JobEntry job = update.job;
-        if (update.changed().isEmpty() && !ends(job)) {
+        if (update.withOutcomes().isEmpty() && !ends(job)) {
             return true;
         }
         Settings settings = context.settings();
         // A cancellation passes down first: who awaits the job is looked up by its record as long as that is there.
-        if (update.changed().size() >= settings.txnGuards()
+        if (update.withOutcomes().size() >= settings.txnGuards()
                 || job.aborted() && dependencies.hasUnmarkedDependants(job.id)) {
             return false;
         }
         Transaction.Builder txn = new Transaction.Builder().when(Keys.job(job.id), job.version());
-        update.changed().keySet().forEach(slice -> txn.when(slice.key, slice.version()));
+        update.withOutcomes().keySet().forEach(slice -> txn.when(slice.key, slice.version()));
         if (!job.aborted()) {
             txn.set(Keys.fin(job.id), new Value.FinalRecord(false, context.wall()));
         }
@@ -257,8 +282,7 @@
     private void write(JobUpdate update, Transaction.Builder txn) {
         JobProgress work = update.work;
         work.writing = true;
-        // What comes from now on gathers anew: the outcomes of this write stay listed until the replica shows them.
-        work.outcomesSince = context.now();
+        update.changed().keySet().forEach(slice -> work.gatherAnew(slice.number));
         Job spec = update.job.job();
         int launched = update.launched.size();
         TransactionQueue.Urgency urgency =
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.JobProgress.Outcome;
-import dewlane.core.Machine.Key;
 import dewlane.core.Machine.Live;
 import dewlane.core.Value.Slice;
 import java.util.ArrayList;
@@ -160,16 +159,14 @@
     /** All that was on a machine that is proven gone is gone. */
     private void takeProof(Machine m) {
         for (Live l : m.live.values()) {
-            record(machines.work(l.job.id), l.key, Outcome.GONE);
+            record(machines.work(l.job.id), l, Outcome.GONE);
         }
     }
 
     /** Notes an outcome that is to be made durable; true if it is the first for the attempt. */
-    boolean record(JobProgress work, Key key, Outcome outcome) {
-        if (work.outcomes.isEmpty()) {
-            work.outcomesSince = context.now();
-        }
-        return work.outcomes.putIfAbsent(key, outcome) == null;
+    boolean record(JobProgress work, Live live, Outcome outcome) {
+        work.gather(live.slice.number, context.now());
+        return work.outcomes.putIfAbsent(live.key, outcome) == null;
     }
 
     /** Tasks on a machine that is soon taken away save as late as is safe. */
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -159,7 +159,7 @@
             if (t != null && t.phase() != Phase.EXITED && type != null && l.job.job() != null) {
                 m.fetched(l.job.job().image(), l.job.job().imageGb(), type.cacheGb());
             }
-            if (outcome != null && placement.record(machines.work(l.job.id), l.key, outcome)) {
+            if (outcome != null && placement.record(machines.work(l.job.id), l, outcome)) {
                 machines.over(m, l);
                 judge(m, l, outcome);
             }
