--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -68,8 +68,12 @@
     }
 
     private static Job job(int tasks, double cpus) {
+        return job("wk-1", tasks, cpus);
+    }
+
+    private static Job job(String id, int tasks, double cpus) {
         return new Job(
-                "wk-1",
+                id,
                 "lot",
                 "blue",
                 Priority.HIGH,
@@ -352,6 +356,44 @@
         }
     }
 
+    /** When the state is read anew all records vanish for a moment: what awaits others does not start for that. */
+    @Test
+    void readingTheStateAnewReleasesNothing() {
+        meet();
+        JobRecord first = new JobRecord(job(2, 5), List.of(new Value.Deal("n0", 0, 2)), 0);
+        Job second = job("wk-2", 2, 1).withAwaits(List.of("wk-1"));
+        JobRecord waiting = new JobRecord(second, List.of(new Value.Deal("n0", 0, 2)), 0);
+        change(Keys.job("wk-1"), first);
+        change(Keys.job("wk-2"), waiting);
+        hear(10, new Input.WatchFailed(true));
+        hear(600, new Input.Tick());
+        Value map = new ClusterMap(1, List.of(new Member("n0", 1)), Map.of());
+        hear(
+                10,
+                new Input.StateListed(
+                        List.of(
+                                new Input.Row(Keys.job("wk-2"), waiting, revision),
+                                new Input.Row(Keys.job("wk-1"), first, revision - 1),
+                                new Input.Row(Keys.MAP, map, 11),
+                                new Input.Row(Keys.presence("n0"), new Presence(1), 11)),
+                        revision,
+                        revision));
+        effects.clear();
+        hear(60, new Input.ReportReceived(3, report(1, 3, 0)));
+        long token = take(Effect.AnswerReport.class).get(0).token();
+        hear(500, new Input.ReportReceived(4, report(1, 4, token)));
+        change(Keys.job("wk-3"), new JobRecord(job("wk-3", 2, 1), List.of(new Value.Deal("n0", 0, 2)), 0));
+        for (int i = 0; i < 20; i++) {
+            hear(100, new Input.Tick());
+        }
+        List<String> written = take(Effect.SendTxn.class).stream()
+                .flatMap(t -> t.txn().apply().stream())
+                .map(Transaction.Write::key)
+                .toList();
+        assertTrue(written.contains(Keys.slice("wk-3", 0)), "what awaits nothing is launched");
+        assertFalse(written.contains(Keys.slice("wk-2", 0)), "what awaits another job was launched");
+    }
+
     /** A watch that fell behind has the state read anew, under the same map: no token may be used a second time. */
     @Test
     void afterTheStateIsReadAnewTokensOnlyGrow() {
--- a/src/test/java/dewlane/sim/PipelinesTest.java
+++ b/src/test/java/dewlane/sim/PipelinesTest.java
@@ -289,6 +289,19 @@
         assertTrue(!done(world, 1));
     }
 
+    /** Counted on a day: each step of a pipeline waited behind all work of its priority that was there before. */
+    @Test
+    void stepsOfAPipelineGoBeforeOtherWorkOfTheirPriority() {
+        World world = world(11, 9);
+        world.cloud.room = 9;
+        submitAt(world, node(world, 0), job(1, Priority.HIGH, 300, 4, 6));
+        submitAt(world, node(world, 0), job(2, Priority.HIGH, 2, 4, 3));
+        submitAt(world, node(world, 1), after(job(3, Priority.HIGH, 2, 4, 3), 2));
+        world.run(world.now() + 45_000);
+        assertTrue(done(world, 2) && done(world, 3), "the pipeline went first");
+        assertTrue(!done(world, 1));
+    }
+
     @Test
     void hundredsOfJobsCanBeAwaitedAndOneCancelledIsEnough() {
         World world = world(12, 9);
