--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -26,17 +26,17 @@
     private final Membership membership;
     private final Cancellations cancellations;
     private final Machines machines;
-    private final WorkerSessions attempts;
+    private final WorkerSessions sessions;
     private final Placement placement;
     private final Dependencies dependencies;
     private final FinalReader finals;
     private final Submissions submissions;
-    private final FailureDetector health;
+    private final FailureDetector failureDetector;
     private final Autoscaler autoscaler;
     private final Users users;
     private final ReadBarrier barrier;
-    private final QuotaRebalancer lending;
-    private final ScaleDown returns;
+    private final QuotaRebalancer rebalancer;
+    private final ScaleDown scaleDown;
     private final PeerBroadcast broadcast;
     private final RateLimit unreadableLog = new RateLimit(UNREADABLE_LINES_PER_S, MOST_UNREADABLE_LINES);
     private boolean listing;
@@ -59,9 +59,9 @@
         finals = new FinalReader(context, replica);
         dependencies = new Dependencies(context, replica, release, finals);
         Quota quota = new Quota(settings, replica, machines);
-        JobDistributor dealer = new JobDistributor(context, replica, machines, quota, release);
-        lending = new QuotaRebalancer(context, replica, membership, quota, dealer, release);
-        LaunchPlanner planner = new LaunchPlanner(context, replica, machines, quota, dealer, counters);
+        JobDistributor distributor = new JobDistributor(context, replica, machines, quota, release);
+        rebalancer = new QuotaRebalancer(context, replica, membership, quota, distributor, release);
+        LaunchPlanner planner = new LaunchPlanner(context, replica, machines, quota, distributor, counters);
         JobWriter writer = new JobWriter(
                 context,
                 replica,
@@ -77,9 +77,9 @@
         LeftoverCleaner cleaner = new LeftoverCleaner(context, replica, transactions);
         placement = new Placement(
                 context, replica, machines, membership, release, quota, writer, planner, cleaner, counters);
-        attempts = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
-        health = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
-        returns = new ScaleDown(context, replica, machines, membership, transactions, placement, release);
+        sessions = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
+        failureDetector = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
+        scaleDown = new ScaleDown(context, replica, machines, membership, transactions, placement, release);
         broadcast = new PeerBroadcast(context, replica, membership, cancellations, placement);
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
         CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota, release);
@@ -92,7 +92,7 @@
                 machines,
                 membership,
                 transactions,
-                dealer,
+                distributor,
                 dependencies,
                 barrier,
                 finals,
@@ -108,7 +108,7 @@
             passedAt = nowMs;
             dirty = false;
             placement.pass();
-            attempts.command();
+            sessions.command();
         }
         return context.takeEffects();
     }
@@ -145,10 +145,10 @@
         if (input instanceof Input.Tick) {
             tick();
         } else if (input instanceof Input.ReportReceived in) {
-            attempts.report(in.id(), in.report());
+            sessions.report(in.id(), in.report());
             dirty = true;
         } else if (input instanceof Input.CommandAnswered in) {
-            attempts.answered(in);
+            sessions.answered(in);
             dirty = true;
         } else if (input instanceof Input.Changes in) {
             changes(in);
@@ -222,11 +222,11 @@
             if (replica.map() != null) {
                 transactions.shareAmong(replica.map().members().size());
             }
-            health.tick();
-            attempts.tick();
+            failureDetector.tick();
+            sessions.tick();
             autoscaler.tick();
-            lending.tick();
-            returns.tick();
+            rebalancer.tick();
+            scaleDown.tick();
             broadcast.slowTick();
         }
     }
--- a/src/main/java/dewlane/core/JobWriter.java
+++ b/src/main/java/dewlane/core/JobWriter.java
@@ -20,6 +20,8 @@
     private static final long GATHER_MS = 1000;
 
     private static final long GATHER_SCARCE_MS = 15_000;
+    /** The same where the team's limit leaves the job no room, as attempts count until their end is durable. */
+    private static final long GATHER_AT_LIMIT_MS = 5000;
     /** The same where the team's limit is lent by what is durable. */
     private static final long GATHER_LENT_MS = 3000;
     /** How long a job rests after a write about it was called invalid. */
@@ -201,14 +203,24 @@
      * a slice is written with its outcomes, so those cost no change of their own.
      */
     private boolean isDue(JobUpdate update, SliceEntry slice, Slice value) {
-        boolean lent = quota.lends(update.job.job());
-        long most = transactions.scarce() ? lent ? GATHER_LENT_MS : GATHER_SCARCE_MS : lent ? 0 : GATHER_MS;
+        long most = gatherMs(update.job.job());
         return value.complete()
                 || update.job.aborted() && value.attempts().isEmpty()
                 || context.now() - update.work.gatheringSince(slice.number, context.now()) >= most
                 || hasToRunAgain(update, slice);
     }
 
+    private long gatherMs(Job job) {
+        boolean scarce = transactions.scarce();
+        if (quota.lends(job)) {
+            return scarce ? GATHER_LENT_MS : 0;
+        }
+        if (!scarce) {
+            return GATHER_MS;
+        }
+        return quota.room(job) > 0 ? GATHER_SCARCE_MS : GATHER_AT_LIMIT_MS;
+    }
+
     private static boolean hasToRunAgain(JobUpdate update, SliceEntry slice) {
         for (Attempt a : slice.value().attempts()) {
             Outcome outcome = update.work.outcomes.get(new Key(update.job.id, a.task(), a.number()));
--- a/src/main/java/dewlane/core/QuotaRebalancer.java
+++ b/src/main/java/dewlane/core/QuotaRebalancer.java
@@ -21,7 +21,7 @@
     private final Replica replica;
     private final Membership membership;
     private final Quota quota;
-    private final JobDistributor dealer;
+    private final JobDistributor distributor;
     private final Release release;
     private long lentAt = Long.MIN_VALUE / 2;
 
@@ -30,14 +30,14 @@
             Replica replica,
             Membership membership,
             Quota quota,
-            JobDistributor dealer,
+            JobDistributor distributor,
             Release release) {
         this.release = release;
         this.context = context;
         this.replica = replica;
         this.membership = membership;
         this.quota = quota;
-        this.dealer = dealer;
+        this.distributor = distributor;
     }
 
     void tick() {
@@ -62,7 +62,7 @@
         Job spec = job.job();
         String self = context.settings().node();
         List<Member> members = replica.map().members();
-        int[] rooms = dealer.rooms(spec, job.shape());
+        int[] rooms = distributor.rooms(spec, job.shape());
         int mine = quota.room(spec, self);
         for (int i = 0; i < rooms.length; i++) {
             if (members.get(i).name().equals(self) && rooms[i] > 0 && mine > 0) {
--- a/src/main/java/dewlane/core/Submissions.java
+++ b/src/main/java/dewlane/core/Submissions.java
@@ -4,7 +4,9 @@
 import dewlane.core.Value.FinalRecord;
 import dewlane.core.Value.JobRecord;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Takes submissions: decides whether a job can run at all, whether the jobs that it awaits were ever accepted, and
@@ -92,25 +94,25 @@
         } else if (!membership.joined()) {
             replies.later(in.id(), "not ready, try again");
         } else if (in.job().awaits().isEmpty()) {
-            accept(in);
+            accept(in, Map.of());
         } else if (membership.olderVersionRuns()) {
             replies.later(in.id(), "an upgrade is under way, try again", UPGRADE_RETRY_S);
         } else if (in.job().awaits().contains(in.uid())) {
             reject(in, "the job awaits itself");
-        } else if (unknown(in.job()).isEmpty()) {
-            accept(in);
+        } else if (unknown(in.job(), Map.of()).isEmpty()) {
+            accept(in, Map.of());
         } else {
             // Another controller may have accepted what is awaited a moment ago.
-            barrier.await(() -> lookUpAwaited(in), () -> replies.unavailable(in.id()));
+            barrier.await(() -> lookUpAwaited(in, new HashMap<>()), () -> replies.unavailable(in.id()));
         }
     }
 
-    /** Awaited jobs of which this controller does not know that they were accepted. */
-    private List<String> unknown(Job job) {
+    /** Awaited jobs of which neither the replica nor a read says that they were accepted. */
+    private List<String> unknown(Job job, Map<String, FinalRecord> read) {
         List<String> unknown = new ArrayList<>();
         for (String id : job.awaits()) {
             JobEntry entry = replica.job(id);
-            boolean accepted = entry != null && entry.record() != null || replica.fin(id) != null;
+            boolean accepted = entry != null && entry.record() != null || result(id, read) != null;
             if (!accepted) {
                 unknown.add(id);
             }
@@ -118,11 +120,17 @@
         return unknown;
     }
 
+    /** The final state of an awaited job, if it is known. */
+    private FinalRecord result(String id, Map<String, FinalRecord> read) {
+        FinalRecord known = replica.fin(id);
+        return known == null ? read.get(id) : known;
+    }
+
     /** The replica holds all that was accepted and is not over; the others have a final state, or never were. */
-    private void lookUpAwaited(Input.Submit in) {
-        List<String> unknown = unknown(in.job());
+    private void lookUpAwaited(Input.Submit in, Map<String, FinalRecord> read) {
+        List<String> unknown = unknown(in.job(), read);
         if (unknown.isEmpty()) {
-            accept(in);
+            accept(in, read);
             return;
         }
         String next = unknown.get(0);
@@ -133,7 +141,8 @@
         boolean asked = finals.read(next, new FinalReader.Listener() {
             @Override
             public void found(FinalRecord result) {
-                lookUpAwaited(in);
+                read.put(next, result);
+                lookUpAwaited(in, read);
             }
 
             @Override
@@ -152,9 +161,9 @@
         }
     }
 
-    private void accept(Input.Submit in) {
-        Job job = in.job().withAccepted(context.wall()).withAwaits(notDone(in.job()));
-        if (cancelledFromTheStart(job)) {
+    private void accept(Input.Submit in, Map<String, FinalRecord> read) {
+        Job job = in.job().withAccepted(context.wall()).withAwaits(notDone(in.job(), read));
+        if (cancelledFromTheStart(job, read)) {
             acceptCancelled(in, job);
             return;
         }
@@ -164,7 +173,7 @@
             record = new JobRecord(job, distributor.dealWhole(job), 0);
         }
         if (size.bytes(record) > most) {
-            reject400(in, most);
+            rejectTooLarge(in, most);
             return;
         }
         if (!transactions.admitsUser()) {
@@ -176,17 +185,17 @@
     }
 
     /** A job whose record fits no value is malformed for this service: its lists or names are too long. */
-    private void reject400(Input.Submit in, int most) {
+    private void rejectTooLarge(Input.Submit in, int most) {
         String reason = "the job, with " + in.job().awaits().size()
                 + " awaited jobs, does not fit into a stored value of " + most + " bytes";
         users.lookUp(in.id(), in.uid(), () -> replies.refused(in.id(), 400, reason));
     }
 
     /** What is known to be done need not be awaited, and not be looked up again after a restart. */
-    private List<String> notDone(Job job) {
+    private List<String> notDone(Job job, Map<String, FinalRecord> read) {
         List<String> left = new ArrayList<>();
         for (String id : job.awaits()) {
-            FinalRecord result = replica.fin(id);
+            FinalRecord result = result(id, read);
             if (result == null || result.aborted()) {
                 left.add(id);
             }
@@ -194,10 +203,10 @@
         return left;
     }
 
-    private boolean cancelledFromTheStart(Job job) {
+    private boolean cancelledFromTheStart(Job job, Map<String, FinalRecord> read) {
         for (String id : job.awaits()) {
             JobEntry entry = replica.job(id);
-            FinalRecord result = replica.fin(id);
+            FinalRecord result = result(id, read);
             if (result != null && result.aborted()
                     || entry != null && entry.record() != null && dependencies.cancelled(entry)) {
                 return true;
--- a/src/main/java/dewlane/core/TransactionQueue.java
+++ b/src/main/java/dewlane/core/TransactionQueue.java
@@ -7,13 +7,13 @@
 import java.util.PriorityQueue;
 
 /**
- * Sends conditional writes, the most urgent first, under a token bucket below the state service's write rate. What
- * users wait for, and the map, is few and not held up by the bucket; the rest then waits longer.
+ * Sends conditional writes, the most urgent first, within this controller's {@link WriteBudget}. What users wait for,
+ * and the map, is few and not held up by the budget; the rest then waits longer.
  *
  * <p>A transaction that got no answer may have been applied or may yet be. It is sent again under the same conditions
  * until the answer is definite; the state service applies it at most once, because it changes a key it is conditional
- * on. A conflict after such a silence may mean that an earlier copy won: whoever sent it must look at the state as of
- * the conflict's revision before deciding anything.
+ * on. Only what a user has stopped waiting for is dropped. A conflict after such a silence may mean that an earlier
+ * copy won: whoever sent it must look at the state as of the conflict's revision before deciding anything.
  */
 public final class TransactionQueue {
     /** How urgent a write is, most urgent first. */
--- a/src/test/java/dewlane/sim/Troubles.java
+++ b/src/test/java/dewlane/sim/Troubles.java
@@ -17,6 +17,17 @@
         SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
         int which = world.random.nextInt(39);
         world.trace("strike " + which + " " + node.name + " " + (machine == null ? "" : machine.name));
+        switch (which) {
+            case 0, 1, 2, 3, 18, 19, 20, 22, 23, 26, 27, 36, 37 -> strikeControllers(world, which, node, nodes);
+            case 4, 5, 6, 7, 24, 28, 29 -> strikeStateService(world, which, node);
+            case 8, 9, 10, 11, 12, 13, 14, 16, 17 -> strikeMachine(world, which, node, machine);
+            case 15, 21, 30, 31, 32, 33, 34 -> strikeCloudOrUsers(world, which, nodes, machine, machines);
+            default -> strikeSeveral(world, which, node, machines);
+        }
+    }
+
+    /** Controllers end, stand still or cannot reach each other. */
+    private static void strikeControllers(World world, int which, SimNode node, List<SimNode> nodes) {
         switch (which) {
             case 0, 1 -> crash(world, node, world.between(100, 9000));
             case 2 -> nodes.forEach(n -> crash(world, n, world.between(100, 6000)));
@@ -24,6 +35,39 @@
                 crash(world, node, 200);
                 world.after(700, () -> crash(world, node, 300));
             }
+            case 18, 19 -> {
+                node.cutFromState = true;
+                node.cutFromPeers = true;
+                world.after(world.between(5000, 45_000), () -> {
+                    node.cutFromState = false;
+                    node.cutFromPeers = false;
+                });
+            }
+            case 20 -> {
+                // Back at once, and then again in the middle of what the first return set off.
+                nodes.forEach(n -> crash(world, n, world.between(50, 400)));
+                world.after(
+                        world.between(500, 1500), () -> nodes.forEach(n -> crash(world, n, world.between(50, 400))));
+            }
+            case 22, 23 -> node.freeze(world.between(1500, 40_000));
+            case 26, 27 -> {
+                nodes.forEach(n -> n.cutFromPeers = true);
+                world.after(world.between(2000, 30_000), () -> nodes.forEach(n -> n.cutFromPeers = false));
+            }
+            case 36 -> {
+                for (int i = 0; i < 8; i++) {
+                    world.after(i * 4000L, () -> crash(world, leader(world, node), world.between(200, 5000)));
+                }
+            }
+            case 37 ->
+                nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
+            default -> throw new IllegalArgumentException("no such trouble: " + which);
+        }
+    }
+
+    /** The state service is out, slow, refuses one or carries writes out late. */
+    private static void strikeStateService(World world, int which, SimNode node) {
+        switch (which) {
             case 4 -> world.state.outage(world.between(1000, 12_000));
             case 5 -> {
                 world.state.refused.add(node.name);
@@ -37,6 +81,21 @@
                 node.cutFromWorkers = true;
                 world.after(world.between(2000, 25_000), () -> node.cutFromWorkers = false);
             }
+            case 24 -> {
+                world.state.slowMs = world.between(200, 1200);
+                world.after(world.between(5000, 30_000), () -> world.state.slowMs = 0);
+            }
+            case 28, 29 -> {
+                world.state.lateWrites = 0.3;
+                world.after(world.between(5000, 25_000), () -> world.state.lateWrites = 0);
+            }
+            default -> throw new IllegalArgumentException("no such trouble: " + which);
+        }
+    }
+
+    /** A machine is gone, hangs, is cut off, fails its tasks or does not hear. */
+    private static void strikeMachine(World world, int which, SimNode node, SimWorker machine) {
+        switch (which) {
             case 8, 9 -> {
                 if (machine != null) {
                     world.trace("vanish " + machine.name);
@@ -58,10 +117,6 @@
                     world.after(30_000, () -> machine.sick = false);
                 }
             }
-            case 15 -> {
-                world.cloud.out = true;
-                world.after(world.between(2000, 15_000), () -> world.cloud.out = false);
-            }
             case 16, 17 -> {
                 if (machine != null) {
                     if (world.chance(0.5)) {
@@ -75,19 +130,17 @@
                     });
                 }
             }
-            case 18, 19 -> {
-                node.cutFromState = true;
-                node.cutFromPeers = true;
-                world.after(world.between(5000, 45_000), () -> {
-                    node.cutFromState = false;
-                    node.cutFromPeers = false;
-                });
-            }
-            case 20 -> {
-                // Back at once, and then again in the middle of what the first return set off.
-                nodes.forEach(n -> crash(world, n, world.between(50, 400)));
-                world.after(
-                        world.between(500, 1500), () -> nodes.forEach(n -> crash(world, n, world.between(50, 400))));
+            default -> throw new IllegalArgumentException("no such trouble: " + which);
+        }
+    }
+
+    /** The cloud is out, old reports arrive, reports do not come, or users cancel. */
+    private static void strikeCloudOrUsers(
+            World world, int which, List<SimNode> nodes, SimWorker machine, List<SimWorker> machines) {
+        switch (which) {
+            case 15 -> {
+                world.cloud.out = true;
+                world.after(world.between(2000, 15_000), () -> world.cloud.out = false);
             }
             case 21 -> {
                 if (machine != null) {
@@ -96,36 +149,6 @@
                     }
                 }
             }
-            case 22, 23 -> node.freeze(world.between(1500, 40_000));
-            case 24 -> {
-                world.state.slowMs = world.between(200, 1200);
-                world.after(world.between(5000, 30_000), () -> world.state.slowMs = 0);
-            }
-            case 25 -> {
-                // Half of a zone at once: dead, hanging or cut off, with what was on its way held back.
-                String zone = world.chance(0.5) ? "east" : "west";
-                int how = world.random.nextInt(3);
-                for (SimWorker m : machines) {
-                    if (m.zone.equals(zone) && world.chance(0.5)) {
-                        switch (how) {
-                            case 0 -> m.vanish();
-                            case 1 -> hang(world, m, world.between(5000, 40_000));
-                            default -> {
-                                m.cut = true;
-                                world.after(world.between(5000, 40_000), () -> m.cut = false);
-                            }
-                        }
-                    }
-                }
-            }
-            case 26, 27 -> {
-                nodes.forEach(n -> n.cutFromPeers = true);
-                world.after(world.between(2000, 30_000), () -> nodes.forEach(n -> n.cutFromPeers = false));
-            }
-            case 28, 29 -> {
-                world.state.lateWrites = 0.3;
-                world.after(world.between(5000, 25_000), () -> world.state.lateWrites = 0);
-            }
             case 30, 31 -> {
                 if (machine != null) {
                     machine.mute = true;
@@ -145,6 +168,30 @@
                 world.users.cancelAtEnd = 0.5;
                 world.after(20_000, () -> world.users.cancelAtEnd = 0);
             }
+            default -> throw new IllegalArgumentException("no such trouble: " + which);
+        }
+    }
+
+    /** Half of a zone at once, the gap before an outage, or messages lost everywhere. */
+    private static void strikeSeveral(World world, int which, SimNode node, List<SimWorker> machines) {
+        switch (which) {
+            case 25 -> {
+                // Half of a zone at once: dead, hanging or cut off, with what was on its way held back.
+                String zone = world.chance(0.5) ? "east" : "west";
+                int how = world.random.nextInt(3);
+                for (SimWorker m : machines) {
+                    if (m.zone.equals(zone) && world.chance(0.5)) {
+                        switch (how) {
+                            case 0 -> m.vanish();
+                            case 1 -> hang(world, m, world.between(5000, 40_000));
+                            default -> {
+                                m.cut = true;
+                                world.after(world.between(5000, 40_000), () -> m.cut = false);
+                            }
+                        }
+                    }
+                }
+            }
             case 35 -> {
                 // The gap: one alone is refused, others confirm cancellations, then it is out for all for longer than
                 // cancel_s.
@@ -157,13 +204,6 @@
                                 (long) (world.settings.cancelS() * 1000) + world.between(2000, 12_000)));
                 world.after(14_000, () -> world.state.refused.remove(leader.name));
             }
-            case 36 -> {
-                for (int i = 0; i < 8; i++) {
-                    world.after(i * 4000L, () -> crash(world, leader(world, node), world.between(200, 5000)));
-                }
-            }
-            case 37 ->
-                nodes.forEach(n -> crash(world, n, world.between(0, 3000) + (long) (world.settings.leaseS() * 1000)));
             default -> {
                 world.trouble = 0.2;
                 world.after(5000, () -> world.trouble = world.now() < RandomRunsTest.STORM_MS ? 0.02 : 0);
