--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -100,7 +100,6 @@
         order.removeIf(j -> !hasToDo(j));
         order.sort(Comparator.comparing((JobEntry j) -> guaranteed.contains(j.id))
                 .thenComparing(JobEntry::priority)
-                .thenComparing(this::inPipeline)
                 .reversed());
         planner.begin(usable, free, guaranteed);
         boolean launches = membership.reachesState();
@@ -110,13 +109,6 @@
         cleaner.pass();
     }
 
-    /**
-     * A few short tasks of a pipeline hold up all that follows them, so they go before other jobs of their priority.
-     */
-    private boolean inPipeline(JobEntry job) {
-        return !job.job().awaits().isEmpty() || !release.destinations(job.id).isEmpty();
-    }
-
     private void lookAtMachines() {
         usable = new ArrayList<>();
         free.clear();
