--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -356,6 +356,23 @@
         }
     }
 
+    /** What a job awaits may have been cancelled long ago: until that is known its user is told to come back. */
+    @Test
+    void aJobIsNotCalledPendingBeforeItIsKnownWhatBecameOfWhatItAwaits() {
+        change(Keys.job("wk-2"), new JobRecord(job("wk-2", 2, 1).withAwaits(List.of("wk-9")), List.of(), 0));
+        effects.clear();
+        hear(300, new Input.Poll(7, "wk-2"));
+        hear(5, new Input.RevisionRead(true, revision));
+        assertEquals(503, take(Effect.AnswerUser.class).get(0).status());
+        hear(100, new Input.Tick());
+        hear(5, new Input.ValueRead(1, true, new Value.FinalRecord(true, 5), 3));
+        hear(300, new Input.Poll(8, "wk-2"));
+        hear(5, new Input.RevisionRead(true, revision));
+        assertEquals(
+                Effect.Condition.ABORTED,
+                take(Effect.AnswerUser.class).get(0).state().condition());
+    }
+
     /** When the state is read anew all records vanish for a moment: what awaits others does not start for that. */
     @Test
     void readingTheStateAnewReleasesNothing() {
--- /dev/null
+++ b/src/test/java/dewlane/core/DependenciesTest.java
@@ -0,0 +1,95 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Value.FinalRecord;
+import dewlane.core.Value.JobRecord;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What jobs that await each other are treated as, change by change. */
+class DependenciesTest {
+    private final Context context = new Context(
+            new Settings(
+                    "n0",
+                    List.of(),
+                    Map.of(),
+                    List.of(),
+                    List.of("east"),
+                    3,
+                    30,
+                    60,
+                    StateLimits.constant(100, 100, 16_384, 16),
+                    5,
+                    5,
+                    Settings.Tuning.defaults()),
+            1);
+    private final Release release = new Release();
+    private Dependencies dependencies;
+    private final Replica replica = new Replica(delta -> dependencies.follow(delta));
+    private long revision;
+
+    @BeforeEach
+    void start() {
+        dependencies = new Dependencies(context, replica, release, new FinalReader(context, replica));
+    }
+
+    private JobRecord record(String id, Priority priority, double deadlineS, String... awaits) {
+        Job job = new Job(
+                id, "lot", "blue", priority, 2, 1, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0,
+                deadlineS, 1000);
+        return new JobRecord(job.withAwaits(List.of(awaits)), List.of(), 0);
+    }
+
+    private void store(JobRecord record) {
+        replica.apply(new Input.Change(Keys.job(record.job().id()), record, ++revision));
+    }
+
+    @Test
+    void priorityAndDeadlineTravelUpAsDependantsComeAndGo() {
+        store(record("first", Priority.IDLE, 0));
+        store(record("second", Priority.STANDARD, 0, "first"));
+        assertEquals(Priority.STANDARD, replica.job("first").priority());
+        assertEquals(JobEntry.NO_DEADLINE, replica.job("first").deadlineMs());
+        JobRecord last = record("last", Priority.HIGH, 100, "second");
+        store(last);
+        JobEntry first = replica.job("first");
+        JobEntry second = replica.job("second");
+        assertEquals(Priority.HIGH, first.priority());
+        assertEquals(101_000, replica.job("last").deadlineMs());
+        assertTrue(second.deadlineMs() <= 91_000, second.deadlineMs() + " leaves the last job its time");
+        assertTrue(first.deadlineMs() <= second.deadlineMs() - 10_000, first.deadlineMs() + " leaves both their time");
+        store(last.cancelled(5000, true));
+        assertEquals(Priority.STANDARD, first.priority());
+        assertEquals(JobEntry.NO_DEADLINE, first.deadlineMs());
+        assertEquals(JobEntry.NO_DEADLINE, second.deadlineMs());
+    }
+
+    @Test
+    void waitingCountsFromTheEndOfTheLastAwaitedJob() {
+        store(record("one", Priority.HIGH, 0));
+        store(record("other", Priority.HIGH, 0));
+        store(record("both", Priority.HIGH, 60, "one", "other"));
+        replica.apply(new Input.Change(Keys.fin("other"), new FinalRecord(false, 70_000), ++revision));
+        assertFalse(release.isReady("both"));
+        replica.apply(new Input.Change(Keys.fin("one"), new FinalRecord(false, 40_000), ++revision));
+        assertTrue(release.isReady("both"));
+        assertEquals(70_000, replica.job("both").waitsSinceMs());
+        assertEquals(61_000, replica.job("both").deadlineMs(), "the deadline counts from the submission");
+    }
+
+    @Test
+    void whatIsNotKnownOfAnAwaitedJobIsNotKnownOfAllThatNeedIt() {
+        store(record("second", Priority.HIGH, 0, "gone"));
+        store(record("third", Priority.HIGH, 0, "second"));
+        assertFalse(dependencies.resolved("second"));
+        assertFalse(dependencies.resolved("third"));
+        replica.rememberFinal("gone", new FinalRecord(true, 500));
+        assertTrue(dependencies.resolved("third"));
+        assertTrue(dependencies.cancelled(replica.job("second")) && dependencies.cancelled(replica.job("third")));
+    }
+}
