--- a/src/main/java/dewlane/core/Dependencies.java
+++ b/src/main/java/dewlane/core/Dependencies.java
@@ -78,13 +78,13 @@
         List<String> awaits = job.job().awaits();
         List<String> failed = release.add(job.id, awaits);
         for (String id : release.destinations(job.id)) {
-            JobEntry dependant = live(id);
+            JobEntry dependant = replica.recorded(id);
             if (dependant != null) {
                 expect(job, dependant);
             }
         }
         for (String awaited : awaits) {
-            JobEntry source = live(awaited);
+            JobEntry source = replica.recorded(awaited);
             if (source != null) {
                 expect(source, job);
             } else {
@@ -101,12 +101,6 @@
         }
     }
 
-    /** The job, if it has a record. */
-    private JobEntry live(String id) {
-        JobEntry entry = replica.job(id);
-        return entry == null || entry.record() == null ? null : entry;
-    }
-
     private void learn(String awaited) {
         FinalRecord result = replica.fin(awaited);
         if (result != null) {
@@ -148,7 +142,7 @@
             return;
         }
         for (String dependant : release.destinations(id)) {
-            JobEntry entry = live(dependant);
+            JobEntry entry = replica.recorded(dependant);
             if (entry != null) {
                 entry.released(result.atMs());
             }
@@ -194,7 +188,7 @@
         }
         source.expect(priority, deadline);
         for (String id : release.sources(source.id)) {
-            JobEntry before = live(id);
+            JobEntry before = replica.recorded(id);
             if (before != null) {
                 expect(before, source);
             }
@@ -218,14 +212,14 @@
 
     /** One of the jobs that need the job has gone. */
     private void expectAnew(String id) {
-        JobEntry job = live(id);
+        JobEntry job = replica.recorded(id);
         if (job == null) {
             return;
         }
         Priority priority = job.job().priority();
         long deadline = job.ownDeadlineMs();
         for (String destination : release.destinations(id)) {
-            JobEntry dependant = live(destination);
+            JobEntry dependant = replica.recorded(destination);
             if (dependant != null && !release.hasFailed(destination)) {
                 priority = highest(priority, dependant.priority());
                 deadline = Math.min(deadline, latestEnd(dependant));
@@ -246,7 +240,7 @@
         Iterator<String> next = (urgent.isEmpty() ? unresolved : urgent).iterator();
         while (next.hasNext() && reading.size() < MOST_READS) {
             String id = next.next();
-            if (live(id) != null || replica.isHeld(id)) {
+            if (replica.recorded(id) != null || replica.isHeld(id)) {
                 continue;
             }
             if (!reading.contains(id) && !reader.read(id, new LookUp(id))) {
@@ -273,7 +267,7 @@
         public void absent() {
             reading.remove(id);
             pausedUntil = context.now() + READ_PAUSE_MS;
-            if (unresolved.contains(id) && live(id) == null) {
+            if (unresolved.contains(id) && replica.recorded(id) == null) {
                 context.info("job " + id + " is awaited, but neither its record nor its end is there");
             }
         }
@@ -301,7 +295,7 @@
             if (!seen.add(id)) {
                 continue;
             }
-            if (unresolved.contains(id) && live(id) == null) {
+            if (unresolved.contains(id) && replica.recorded(id) == null) {
                 urgent.add(id);
                 resolved = false;
             }
@@ -318,7 +312,7 @@
     /** True if a job that awaits this one is there and its cancellation is not durable yet. */
     boolean hasUnmarkedDependants(String job) {
         for (String id : release.destinations(job)) {
-            JobEntry dependant = live(id);
+            JobEntry dependant = replica.recorded(id);
             if (dependant != null && !dependant.aborted()) {
                 return true;
             }
--- a/src/main/java/dewlane/core/JobWriter.java
+++ b/src/main/java/dewlane/core/JobWriter.java
@@ -147,8 +147,11 @@
         boolean cut = false;
         for (SliceEntry slice : update.job.slices()) {
             Slice value = update.value(slice);
+            if (!mayBeLarge(value)) {
+                continue;
+            }
             boolean mine = self.equals(Partitions.owner(replica.map(), slice.key, value));
-            if (mayBeLarge(value) && (mine || update.withOutcomes().containsKey(slice))) {
+            if (mine || update.withOutcomes().containsKey(slice)) {
                 List<Slice> pieces =
                         SliceSplitter.split(value, context.settings().valueBytes());
                 if (pieces.size() > 1 && cut(update, slice, value, pieces, mine)) {
@@ -284,9 +287,8 @@
         if (job.live() == 0 && !dependencies.hasUnmarkedDependants(job.id)) {
             txn.delete(Keys.job(job.id));
         } else {
-            Value.JobRecord marked = job.record().cancelled(context.wall(), true);
-            boolean fits = size.bytes(marked) <= context.settings().valueBytes();
-            txn.set(Keys.job(job.id), fits ? marked : job.record().cancelled(context.wall(), false));
+            int most = context.settings().valueBytes();
+            txn.set(Keys.job(job.id), job.record().cancelled(context.wall(), size, most));
         }
         write(new JobUpdate(job, work, 0, 0), txn);
     }
--- a/src/main/java/dewlane/core/LaunchPlanner.java
+++ b/src/main/java/dewlane/core/LaunchPlanner.java
@@ -65,11 +65,11 @@
         preemption.begin(usable, guaranteed);
     }
 
-    /** True if something is to be written: launches, or tasks handed to another part. */
-    boolean plan(JobUpdate update) {
+    /** Adds launches to the write, or tasks that are handed to another part. */
+    void plan(JobUpdate update) {
         JobEntry job = update.job;
         if (quota.busy(job.job())) {
-            return false;
+            return;
         }
         boolean anyHanded = false;
         int attempts = attemptsIn(update);
@@ -84,11 +84,9 @@
                 attempts += update.value(slice).attempts().size();
             }
         }
-        if (update.launched.isEmpty() && !anyHanded) {
-            return false;
+        if (anyHanded) {
+            update.bind();
         }
-        update.bind();
-        return true;
     }
 
     private static int attemptsIn(JobUpdate update) {
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -366,6 +366,12 @@
         return jobs.get(id);
     }
 
+    /** The job, or null if it has no record: it is over or was never accepted, or its record cannot be read. */
+    JobEntry recorded(String id) {
+        JobEntry entry = jobs.get(id);
+        return entry == null || entry.record() == null ? null : entry;
+    }
+
     /** The final state of a job if this node has seen it; absence proves nothing. */
     public FinalRecord fin(String id) {
         return finals.getIfPresent(id);
--- a/src/main/java/dewlane/core/Submissions.java
+++ b/src/main/java/dewlane/core/Submissions.java
@@ -111,9 +111,7 @@
     private List<String> unknown(Job job, Map<String, FinalRecord> read) {
         List<String> unknown = new ArrayList<>();
         for (String id : job.awaits()) {
-            JobEntry entry = replica.job(id);
-            boolean accepted = entry != null && entry.record() != null || result(id, read) != null;
-            if (!accepted) {
+            if (replica.recorded(id) == null && result(id, read) == null) {
                 unknown.add(id);
             }
         }
@@ -205,10 +203,9 @@
 
     private boolean cancelledFromTheStart(Job job, Map<String, FinalRecord> read) {
         for (String id : job.awaits()) {
-            JobEntry entry = replica.job(id);
+            JobEntry entry = replica.recorded(id);
             FinalRecord result = result(id, read);
-            if (result != null && result.aborted()
-                    || entry != null && entry.record() != null && dependencies.cancelled(entry)) {
+            if (result != null && result.aborted() || entry != null && dependencies.cancelled(entry)) {
                 return true;
             }
         }
--- a/src/main/java/dewlane/core/Users.java
+++ b/src/main/java/dewlane/core/Users.java
@@ -50,7 +50,7 @@
             replies.finalState(in.id(), in.job(), fin);
             return;
         }
-        if (known(in.job()) != null) {
+        if (replica.recorded(in.job()) != null) {
             // The write is conditional on what the replica shows, so it may be behind.
             abortKnown(in);
         } else {
@@ -58,15 +58,9 @@
         }
     }
 
-    /** The job as the replica has it, or null if it is over or was never accepted. */
-    private JobEntry known(String id) {
-        JobEntry entry = replica.job(id);
-        return entry == null || entry.record() == null ? null : entry;
-    }
-
     private void abortKnown(Input.Abort in) {
         FinalRecord fin = replica.fin(in.job());
-        JobEntry entry = known(in.job());
+        JobEntry entry = replica.recorded(in.job());
         if (fin != null) {
             replies.finalState(in.id(), in.job(), fin);
         } else if (replica.isHeld(in.job())) {
@@ -83,11 +77,8 @@
     private void cancel(Input.Abort in, JobRecord record, long version) {
         String job = record.job().id();
         FinalRecord fin = new FinalRecord(true, context.wall());
-        JobRecord marked = record.cancelled(context.wall(), true);
-        if (size.bytes(marked) > context.settings().valueBytes()) {
-            // Nothing of it is launched any more, so how it was dealt does not matter.
-            marked = record.cancelled(context.wall(), false);
-        }
+        JobRecord marked =
+                record.cancelled(context.wall(), size, context.settings().valueBytes());
         Transaction txn = new Transaction.Builder()
                 .when(Keys.job(job), version)
                 .set(Keys.job(job), marked)
@@ -128,7 +119,7 @@
 
     private void answerKnown(long id, String job, Runnable unknown) {
         FinalRecord fin = replica.fin(job);
-        JobEntry entry = known(job);
+        JobEntry entry = replica.recorded(job);
         if (fin != null) {
             replies.finalState(id, job, fin);
         } else if (replica.isHeld(job)) {
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -18,9 +18,13 @@
             this(job, deals, abortedMs, UnknownFields.NONE);
         }
 
-        /** The same record with the mark that the job is cancelled, and without deals if they are not to be kept. */
-        JobRecord cancelled(long atMs, boolean keepDeals) {
-            return new JobRecord(job, keepDeals ? deals : List.of(), atMs, unknown);
+        /**
+         * The same record with the mark that the job is cancelled. Nothing of it is launched any more, so how it was
+         * dealt is left out where a value has no room for it.
+         */
+        JobRecord cancelled(long atMs, ValueSize size, int mostBytes) {
+            JobRecord marked = new JobRecord(job, deals, atMs, unknown);
+            return size.bytes(marked) <= mostBytes ? marked : new JobRecord(job, List.of(), atMs, unknown);
         }
 
         /** True if the job was cancelled. */
--- a/src/test/java/dewlane/core/DependenciesTest.java
+++ b/src/test/java/dewlane/core/DependenciesTest.java
@@ -63,7 +63,7 @@
         assertEquals(101_000, replica.job("last").deadlineMs());
         assertTrue(second.deadlineMs() <= 91_000, second.deadlineMs() + " leaves the last job its time");
         assertTrue(first.deadlineMs() <= second.deadlineMs() - 10_000, first.deadlineMs() + " leaves both their time");
-        store(last.cancelled(5000, true));
+        store(last.cancelled(5000, value -> 0, 1));
         assertEquals(Priority.STANDARD, first.priority());
         assertEquals(JobEntry.NO_DEADLINE, first.deadlineMs());
         assertEquals(JobEntry.NO_DEADLINE, second.deadlineMs());
