--- /dev/null
+++ b/src/test/java/dewlane/core/ControllerFixture.java
@@ -0,0 +1,113 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Value.ClusterMap;
+import dewlane.core.Value.Member;
+import dewlane.core.Value.Presence;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+
+/** One controller core that has joined alone, and the messages that tests give it. */
+abstract class ControllerFixture {
+    static final MachineType BOX = new MachineType("box", 4, 0, 16, 20, 1, 0.2, 0.1, 30, List.of("east"));
+
+    final Controller controller = new Controller(
+            new Settings(
+                    "n0",
+                    List.of("n1"),
+                    Map.of("blue", new Settings.Team("blue", 0, 0, 4, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
+                    List.of(),
+                    List.of("east"),
+                    3,
+                    30,
+                    60,
+                    StateLimits.constant(100, 100, 16_384, 16),
+                    5,
+                    5,
+                    Settings.Tuning.defaults()),
+            1,
+            value -> 0);
+    final List<Effect> effects = new ArrayList<>();
+    long now;
+    long revision = 10;
+
+    void hear(long afterMs, Input input) {
+        now += afterMs;
+        effects.addAll(controller.handle(now, now, input));
+    }
+
+    void change(String key, Value value) {
+        revision++;
+        hear(60, new Input.Changes(List.of(new Input.Change(key, value, revision)), revision));
+    }
+
+    <T extends Effect> List<T> take(Class<T> kind) {
+        List<T> found =
+                effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+        effects.clear();
+        return found;
+    }
+
+    Report report(long session, long sequence, long token) {
+        return new Report("m1", "h:1", "box", "east", true, session, sequence, token, Double.NaN, List.of());
+    }
+
+    /** A machine that reports, and shows by its next report that it got the answer. */
+    void meet() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        hear(500, new Input.ReportReceived(2, report(1, 2, 1L << 20)));
+    }
+
+    static Job job(int tasks, double cpus) {
+        return job("wk-1", tasks, cpus);
+    }
+
+    static Job job(String id, int tasks, double cpus) {
+        return new Job(
+                id,
+                "lot",
+                "blue",
+                Priority.HIGH,
+                tasks,
+                cpus,
+                0,
+                1,
+                "image",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                10,
+                0,
+                0,
+                0,
+                1);
+    }
+
+    @BeforeEach
+    void join() {
+        hear(0, new Input.Tick());
+        hear(10, new Input.LeaseGranted(7));
+        hear(10, new Input.StateListed(List.of(), revision, revision));
+        hear(10, new Input.CatalogRead(List.of(BOX)));
+        hear(100, new Input.Tick());
+        Effect.SendTxn txn = take(Effect.SendTxn.class).get(0);
+        revision++;
+        hear(5, new Input.TxnAnswer(txn.id(), Transaction.Status.COMMITTED, revision));
+        hear(
+                5,
+                new Input.Changes(
+                        List.of(
+                                new Input.Change(
+                                        Keys.MAP, new ClusterMap(1, List.of(new Member("n0", 1)), Map.of()), revision),
+                                new Input.Change(Keys.presence("n0"), new Presence(1), revision)),
+                        revision));
+        assertTrue(controller.ready());
+        effects.clear();
+    }
+}
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -4,6 +4,7 @@
 import dewlane.core.Input;
 import dewlane.core.ListedMachine;
 import dewlane.core.MachineType;
+import dewlane.core.Order;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -52,6 +53,7 @@
     int heldUp;
 
     int heldUpPastTheirSender;
+    private final List<Effect.Command> heldCommands = new ArrayList<>();
 
     void catalog(SimNode node) {
         if (!out) {
@@ -114,9 +116,16 @@
                 5000);
     }
 
+    /** True if a command to the machine that launches the order's attempt is held up on its way. */
+    boolean holdsLaunch(String machine, Order order) {
+        Order launch = new Order(Order.Kind.LAUNCH, order.job(), order.task(), order.attempt(), 0);
+        return heldCommands.stream()
+                .anyMatch(c -> c.machine().equals(machine) && c.orders().contains(launch));
+    }
+
     void command(SimNode node, Effect.Command e) {
         SimWorker m = machines.get(e.machine());
-        boolean launches = e.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
+        boolean launches = e.orders().stream().anyMatch(o -> o.kind() == Order.Kind.LAUNCH);
         Input silence = new Input.CommandAnswered(e.machine(), e.token(), launches, null);
         if (m == null) {
             world.after(2500, () -> node.hear(node.life, silence));
@@ -136,7 +145,9 @@
         }
         if (lateCommands > 0 && world.chance(lateCommands)) {
             heldUp++;
+            heldCommands.add(e);
             world.after(world.between(2000, 16_000), () -> {
+                heldCommands.remove(e);
                 heldUpPastTheirSender += node.life == of ? 0 : 1;
                 m.whenAwake(node.name, () -> {}, () -> m.command(e, sentAt));
             });
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -9,9 +9,11 @@
 import dewlane.core.Report.Phase;
 import dewlane.core.Report.TaskState;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A machine and its worker, as the protocol tells it: sessions, leases, tokens and tasks. */
 final class SimWorker {
@@ -54,7 +56,7 @@
     /** Its reports reach no controller, while direct commands reach it. */
     boolean mute;
     /** Controllers between which and the machine nothing passes. */
-    final java.util.Set<String> cutFrom = new java.util.HashSet<>();
+    final Set<String> cutFrom = new HashSet<>();
     /** Reports that are held back on their way, or null if none are. */
     private List<Report> withheld;
     /** The one controller whose answers and commands do not reach it, or null. */
@@ -65,6 +67,12 @@
     long hangsUntil;
     private final long rentedAt;
     final Map<String, Task> tasks = new LinkedHashMap<>();
+    /** Attempts that it was told to forget in this session; a late copy of such a launch would start them anew. */
+    private final Set<String> forgotten = new HashSet<>();
+
+    /** Attempts that it forgot while a command that launches them was held up on its way. */
+    int forgottenBeforeHeldLaunch;
+
     private final List<Runnable> held = new ArrayList<>();
     private long session = 1;
     private long sequence;
@@ -181,6 +189,7 @@
         }
         if (world.now() - leaseFrom > world.settings.leaseS() * 1000) {
             tasks.clear();
+            forgotten.clear();
             session++;
             leaseFrom = world.now();
             reportTo = null;
@@ -374,6 +383,8 @@
             case FORGET -> {
                 if (t != null && t.phase == Phase.EXITED) {
                     tasks.remove(key);
+                    forgotten.add(key);
+                    forgottenBeforeHeldLaunch += world.cloud.holdsLaunch(name, o) ? 1 : 0;
                 }
             }
         }
@@ -381,6 +392,9 @@
     }
 
     private void launch(Order o, String key, long sentAt) {
+        if (forgotten.contains(key)) {
+            world.checker.broken("launched_again", key + " on " + name + ", which was told to forget it");
+        }
         Task t = new Task(o.job(), o.task(), o.attempt(), sentAt);
         boolean busy = tasks.values().stream()
                 .anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
