An attempt is forgotten only once no copy of its launch can arrive under its token

Whether a launch might still arrive was one flag of the machine, set only when a command was given up on. A forget that went out before that, with the answer to a report, left the fence as it was; the command under way then started the attempt again. The same for a launch in an answer under way and a forget that overtakes it by a direct command.

Change: CommandChannel holds what was sent to a machine: the token, the launches of the command under way, of the answer under way and of commands given up on. A forget waits for a launch under way, at most 2.5 s for a command and until the next report for an answer; where the launch was given up on, the fence is raised with the forget, as before, but no longer for other attempts' forgets. Waiting costs no change and no lost work; raising in its place would give up every launch under way there. Counted once a minute (launches given up on, fences raised, forgets held back); at debug each order is logged with its way, token, session and the revision its sender had read. The random runs hold commands up beside machines that fail their tasks.

--- a/src/main/java/dewlane/core/Context.java
+++ b/src/main/java/dewlane/core/Context.java
@@ -11,6 +11,7 @@
     private List<Effect> effects = new ArrayList<>();
     private long now;
     private long wall;
+    private boolean ordersLogged;
 
     public Context(Settings settings, long seed) {
         this.settings = settings;
@@ -52,6 +53,15 @@
         effects.add(new Effect.Log(Effect.Level.INFO, text));
     }
 
+    /** Whether lines that are written for each order are wanted; they cost too much to be made and thrown away. */
+    void logOrders(boolean wanted) {
+        ordersLogged = wanted;
+    }
+
+    boolean ordersLogged() {
+        return ordersLogged;
+    }
+
     /** Logs for those who look for a fault. */
     public void debug(String text) {
         effects.add(new Effect.Log(Effect.Level.DEBUG, text));
--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -113,6 +113,11 @@
         return context.takeEffects();
     }
 
+    /** Logs each order to a worker at debug, and what it rests on. */
+    public void logOrders(boolean wanted) {
+        context.logOrders(wanted);
+    }
+
     /** What this controller has done since its start, for the log. */
     public String counts() {
         return counters.text();
@@ -275,6 +280,7 @@
             replica.apply(change);
         }
         counters.changesSeen += in.changes().size();
+        logChanges(in);
         replica.advance(in.revision());
         barrier.advanced();
         cancellations.viewed(watchedAt);
@@ -284,6 +290,13 @@
         watch(in.revision());
     }
 
+    private void logChanges(Input.Changes in) {
+        if (context.ordersLogged() && !in.changes().isEmpty()) {
+            context.debug("the state is read up to revision " + in.revision() + ": "
+                    + in.changes().size() + " changes, asked for " + (context.now() - watchedAt) + " ms ago");
+        }
+    }
+
     private void watchFailed(Input.WatchFailed in) {
         if (in.tooOld()) {
             context.info("the watch fell behind, reading the state anew");
@@ -301,7 +314,8 @@
         if (delta instanceof Delta.SliceChanged d && d.after() != null) {
             counters.attemptsSeen += d.after().attempts().size();
         } else if (delta instanceof Delta.MapChanged d) {
-            context.info("map " + d.after().epoch() + ": " + d.after().members());
+            context.info("map " + d.after().epoch() + ": " + d.after().members() + ", led by "
+                    + Partitions.leader(d.after()));
         } else if (delta instanceof Delta.Unread d) {
             noteUnreadable(d);
         }
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -13,6 +13,9 @@
     long commands;
     long probes;
     long suspicions;
+    long commandsGivenUp;
+    long fencesRaised;
+    long forgetsHeld;
     long handed;
     long writes;
     long changesWritten;
@@ -45,7 +48,9 @@
                 + passes
                 + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands
                 + ", probes "
-                + probes + ", suspicions " + suspicions + ", handed on " + handed + ", writes " + writes + " of "
+                + probes + ", launches given up on " + commandsGivenUp + ", fences raised " + fencesRaised
+                + ", forgets held back " + forgetsHeld + ", suspicions " + suspicions + ", handed on " + handed
+                + ", writes " + writes + " of "
                 + changesWritten
                 + " changes (" + byUrgency() + "), tasks launched " + launched + ", conflicts " + conflicts
                 + ", refused " + refused + ", invalid " + invalid + ", unreadable " + unreadable;
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -60,7 +60,8 @@
 
     long session;
     long sequence;
-    long seal;
+    /** The highest token that the worker has shown. */
+    long tokenSeen;
     /** When the machine last proved that it hears this controller, not only that it is heard; 0: never. */
     long heardAt;
     /** When a report of its own came last, not an answer to a command. */
@@ -69,10 +70,8 @@
     long suspectedSince;
     /** A report with this token ends the suspicion: it was handed out after that began. */
     long challenge;
-    /** The token and launches of the latest answer to a report, which the next report must show. */
-    long promised;
-
-    final Set<Key> promisedLaunches = new HashSet<>();
+    /** What was sent to the worker, and with which token. */
+    final CommandChannel channel = new CommandChannel();
     /** The start of a peer that last said it hears the machine, and when. */
     String listedBy;
 
@@ -91,12 +90,6 @@
 
     Map<Key, Report.TaskState> reported = Map.of();
 
-    private long tokenEpoch;
-    private int fence;
-    /** A direct launch got no answer, so it may still arrive under the present fence. */
-    boolean unsure;
-
-    boolean commandInFlight;
     /** The worker has not been told the present owner's token although tasks may be on the machine. */
     boolean tokenLate;
 
@@ -133,16 +126,11 @@
      * not change hands: a map that changes elsewhere fences off no launch of this part.
      */
     void acquire(long epoch, long now) {
-        // The same map may be read anew: its tokens up to the present fence have been used.
-        fence = epoch == tokenEpoch ? fence + 1 : 0;
-        tokenEpoch = epoch;
-        unsure = false;
+        channel.acquire(epoch);
         since = now;
         heardAt = 0;
         suspectedSince = now;
         challenge = token();
-        promised = 0;
-        promisedLaunches.clear();
         probedAt = 0;
         tokenLate = true;
         takenAt = 0;
@@ -172,15 +160,9 @@
         kept.add(job);
     }
 
-    /** The token of the present owner: the epoch at which it got the machine, then the machine's own fence. */
+    /** The token that commands to the machine carry. */
     long token() {
-        return (tokenEpoch << 20) | fence;
-    }
-
-    /** From the next answer on, no launch commanded so far can be executed. */
-    void raiseFence() {
-        fence++;
-        unsure = false;
+        return channel.token();
     }
 
     /** The machine has shown that it hears this controller. */
@@ -204,7 +186,7 @@
         if (launchUnderWay) {
             challenge = Long.MAX_VALUE;
         } else {
-            raiseFence();
+            channel.raiseFence();
             challenge = token();
         }
     }
@@ -232,6 +214,5 @@
         commanded.clear();
         stops.clear();
         unaccounted.clear();
-        promisedLaunches.clear();
     }
 }
--- /dev/null
+++ b/src/main/java/dewlane/core/OrderLog.java
@@ -0,0 +1,76 @@
+package dewlane.core;
+
+import dewlane.core.Machine.Key;
+import java.util.List;
+import java.util.StringJoiner;
+
+/**
+ * Logs, at debug, each order to a worker: by which way it went, under which token and session, and up to which revision
+ * of the state its sender had read. Lines are made only where they are wanted.
+ */
+final class OrderLog {
+    private final Context context;
+    private final Replica replica;
+
+    OrderLog(Context context, Replica replica) {
+        this.context = context;
+        this.replica = replica;
+    }
+
+    /** Orders go out with the answer to a report. */
+    void answered(Machine m, List<Order> orders) {
+        sent(m, "with the answer to report " + m.sequence, orders);
+    }
+
+    /** Orders go out by a direct command. */
+    void commanded(Machine m, List<Order> orders) {
+        sent(m, "by command", orders);
+    }
+
+    private void sent(Machine m, String way, List<Order> orders) {
+        if (!context.ordersLogged() || orders.isEmpty()) {
+            return;
+        }
+        StringJoiner text = new StringJoiner(", ");
+        for (Order o : orders) {
+            text.add(o.kind() + " " + name(o.job(), o.task(), o.attempt()));
+        }
+        context.debug(m.name + " is told " + way + ", " + standing(m) + ", state read to " + replica.revision() + ": "
+                + text);
+    }
+
+    /** A direct command was answered, given up on, or not sent. */
+    void settled(Machine m, Input.CommandAnswered in) {
+        if (!context.ordersLogged()) {
+            return;
+        }
+        String what = in.report() != null
+                ? "answered by report " + in.report().sequence()
+                : in.launched() ? "given up on, with launches" : "given up on or not sent, without launches";
+        context.debug("command to " + m.name + " with token " + in.token() + " " + what + " after "
+                + m.channel.commandAgeMs(context.now()) + " ms");
+    }
+
+    /** An attempt has ended and is not forgotten yet. */
+    void forgetHeld(Machine m, Key key) {
+        if (context.ordersLogged()) {
+            context.debug(name(key.job(), key.task(), key.number()) + " on " + m.name + " is not forgotten yet, "
+                    + standing(m) + ": a launch of it is under way");
+        }
+    }
+
+    /** All launches on their way to the machine are given up. */
+    void fenceRaised(Machine m, String reason) {
+        if (context.ordersLogged()) {
+            context.debug("fence of " + m.name + " raised, " + standing(m) + ": " + reason);
+        }
+    }
+
+    private static String standing(Machine m) {
+        return "token " + m.token() + " session " + m.session;
+    }
+
+    private static String name(String job, int task, int attempt) {
+        return job + "/" + task + " #" + attempt;
+    }
+}
--- a/src/main/java/dewlane/core/OrderPlanner.java
+++ b/src/main/java/dewlane/core/OrderPlanner.java
@@ -19,12 +19,22 @@
     private final Replica replica;
     private final Machines machines;
     private final Cancellations cancellations;
+    private final Counters counters;
+    private final OrderLog orderLog;
 
-    OrderPlanner(Context context, Replica replica, Machines machines, Cancellations cancellations) {
+    OrderPlanner(
+            Context context,
+            Replica replica,
+            Machines machines,
+            Cancellations cancellations,
+            Counters counters,
+            OrderLog orderLog) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.cancellations = cancellations;
+        this.counters = counters;
+        this.orderLog = orderLog;
     }
 
     /** What the machine should do now. All of it is repeated in every answer until a report shows it done. */
@@ -36,17 +46,8 @@
                 settle(m, key, t, forget, strangers);
             }
         });
-        boolean raise = m.unsure && !forget.isEmpty();
-        for (Live l : m.live.values()) {
-            // A launch that may still be on its way must not arrive after its job's cancellation.
-            raise |= cancellations.ended(l.job)
-                    && !m.reported.containsKey(l.key)
-                    && l.attempt.session() == m.session
-                    && l.attempt.token() == m.token();
-        }
-        if (raise) {
-            m.raiseFence();
-        }
+        raiseFenceIfNeeded(m, forget);
+        forget.removeIf(key -> heldBack(m, key));
         List<Order> orders = new ArrayList<>();
         for (Live l : m.live.values()) {
             Order order = orderFor(m, l);
@@ -67,6 +68,39 @@
         return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
     }
 
+    /** Refuses, from the next answer or command on, launches that must not be carried out any more. */
+    private void raiseFenceIfNeeded(Machine m, List<Key> forget) {
+        String reason = null;
+        if (forget.stream().anyMatch(m.channel::launchAbandoned)) {
+            reason = "a command that launches what is to be forgotten was given up on";
+        } else if (m.live.values().stream().anyMatch(l -> endedOnTheWay(m, l))) {
+            reason = "a launch on its way is of a job that is over";
+        }
+        if (reason != null) {
+            counters.fencesRaised++;
+            m.channel.raiseFence();
+            orderLog.fenceRaised(m, reason);
+        }
+    }
+
+    /** A launch that may still be on its way must not arrive after its job's cancellation. */
+    private boolean endedOnTheWay(Machine m, Live l) {
+        return cancellations.ended(l.job)
+                && !m.reported.containsKey(l.key)
+                && l.attempt.session() == m.session
+                && l.attempt.token() == m.token();
+    }
+
+    /** Forgetting waits until no copy of the launch can arrive; raising the fence instead would give up others too. */
+    private boolean heldBack(Machine m, Key key) {
+        boolean held = m.channel.launchUnderWay(key);
+        if (held) {
+            counters.forgetsHeld++;
+            orderLog.forgetHeld(m, key);
+        }
+        return held;
+    }
+
     private boolean due(Machine m, Key key) {
         return !m.commanded.containsKey(key) || context.now() - m.commanded.getLong(key) > RESEND_MS;
     }
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -7,8 +7,10 @@
 import dewlane.core.Report.TaskState;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Speaks to the workers of this controller's part: takes reports, gives orders, and finds proof that an attempt is
@@ -32,6 +34,7 @@
     private final Counters counters;
     private final String self;
     private final OrderPlanner planner;
+    private final OrderLog orderLog;
 
     WorkerSessions(
             Context context,
@@ -49,7 +52,8 @@
         this.cancellations = cancellations;
         this.counters = counters;
         this.self = context.settings().node();
-        this.planner = new OrderPlanner(context, replica, machines, cancellations);
+        this.orderLog = new OrderLog(context, replica);
+        this.planner = new OrderPlanner(context, replica, machines, cancellations, counters, orderLog);
     }
 
     /**
@@ -89,14 +93,10 @@
         take(m, r, id == 0);
         if (id != 0) {
             m.reportedAt = context.now();
+            m.channel.answerSettled();
             List<Order> orders = planner.orders(m, true);
-            m.promised = m.token();
-            m.promisedLaunches.clear();
-            for (Order o : orders) {
-                if (o.kind() == Order.Kind.LAUNCH) {
-                    m.promisedLaunches.add(new Key(o.job(), o.task(), o.attempt()));
-                }
-            }
+            m.channel.answerSent(launches(orders));
+            orderLog.answered(m, orders);
             context.emit(new Effect.AnswerReport(id, m.token(), orders));
         }
     }
@@ -128,6 +128,16 @@
         return newer && strayed > (machines.listedByOwner(m) ? 3500 : 500);
     }
 
+    private static Set<Key> launches(List<Order> orders) {
+        Set<Key> launches = new HashSet<>();
+        for (Order o : orders) {
+            if (o.kind() == Order.Kind.LAUNCH) {
+                launches.add(new Key(o.job(), o.task(), o.attempt()));
+            }
+        }
+        return launches;
+    }
+
     private void refuse(long id) {
         if (id != 0) {
             context.emit(new Effect.RefuseReport(id));
@@ -135,17 +145,18 @@
     }
 
     private void take(Machine m, Report r, boolean answer) {
-        if (m.seal == 0 && m.sequence == 0) {
+        if (m.tokenSeen == 0 && m.sequence == 0) {
             context.debug("machine " + m.name + " reports: " + r.type() + " " + r.zone() + (r.spot() ? " spot" : ""));
         }
         if (r.session() != m.session) {
             m.forgetCommands();
+            m.channel.sessionBegan();
         }
         m.address = r.address();
         m.isOf(r.type(), r.zone(), r.spot());
         m.session = r.session();
         m.sequence = r.sequence();
-        m.seal = r.token();
+        m.tokenSeen = r.token();
         Map<Key, TaskState> reported = new HashMap<>();
         for (TaskState t : r.tasks()) {
             reported.put(new Key(t.job(), t.task(), t.attempt()), t);
@@ -174,8 +185,8 @@
      */
     private void hear(Machine m, Report r, boolean answer) {
         long now = context.now();
-        boolean missed = m.promised > r.token();
-        for (Key k : m.promisedLaunches) {
+        boolean missed = m.channel.answerToken() > r.token();
+        for (Key k : m.channel.answerLaunches()) {
             Live l = m.live.get(k);
             missed |= l != null && l.attempt.session() == r.session() && !m.reported.containsKey(k);
         }
@@ -257,7 +268,7 @@
             if (m.address == null || m.session == 0) {
                 continue;
             }
-            if (m.commandInFlight) {
+            if (m.channel.busy()) {
                 later.add(m);
                 continue;
             }
@@ -274,7 +285,8 @@
                 for (Order o : orders) {
                     m.commanded.put(new Key(o.job(), o.task(), o.attempt()), context.now());
                 }
-                m.commandInFlight = true;
+                m.channel.commandSent(launches(orders), context.now());
+                orderLog.commanded(m, orders);
                 context.emit(new Effect.Command(m.name, m.address, m.session, m.token(), orders));
             }
         }
@@ -298,11 +310,15 @@
         if (m == null) {
             return;
         }
-        m.commandInFlight = false;
+        orderLog.settled(m, in);
         if (in.report() != null) {
+            m.channel.commandSettled();
             report(0, in.report());
-        } else if (in.launched() && membership.joined() && in.token() == m.token()) {
-            m.unsure = true;
+        } else if (in.launched()) {
+            counters.commandsGivenUp++;
+            m.channel.commandGivenUp();
+        } else {
+            m.channel.commandSettled();
         }
     }
 }
--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -81,6 +81,7 @@
         this.settings = settings;
         this.endpoints = endpoints;
         this.controller = new Controller(settings, seed, value -> ValueCodec.bytes(value).length);
+        this.controller.logOrders(CORE.isDebugEnabled());
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
--- a/src/test/java/dewlane/sim/RandomRunsTest.java
+++ b/src/test/java/dewlane/sim/RandomRunsTest.java
@@ -98,6 +98,7 @@
         world.state.slowMs = 0;
         world.state.lateWrites = 0;
         world.users.cancelAtEnd = 0;
+        world.cloud.lateCommands = 0;
         world.users.askAboutAll();
         // What hangs or is cut off at the end of the storm does so for up to a minute more.
         world.after(60_000, world.checker::watchWaiting);
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -60,6 +60,7 @@
         slept.clear();
         frozenUntil = 0;
         core = new Controller(settingsOf(name), world.random.nextLong(), value -> ValueCodec.bytes(value).length);
+        core.logOrders(true);
         ticks(life);
     }
 
--- a/src/test/java/dewlane/sim/Troubles.java
+++ b/src/test/java/dewlane/sim/Troubles.java
@@ -15,13 +15,14 @@
                 .filter(m -> !m.gone && m.up)
                 .toList();
         SimWorker machine = machines.isEmpty() ? null : machines.get(world.random.nextInt(machines.size()));
-        int which = world.random.nextInt(39);
+        int which = world.random.nextInt(42);
         world.trace("strike " + which + " " + node.name + " " + (machine == null ? "" : machine.name));
         switch (which) {
             case 0, 1, 2, 3, 18, 19, 20, 22, 23, 26, 27, 36, 37 -> strikeControllers(world, which, node, nodes);
             case 4, 5, 6, 7, 24, 28, 29 -> strikeStateService(world, which, node);
             case 8, 9, 10, 11, 12, 13, 14, 16, 17 -> strikeMachine(world, which, node, machine);
             case 15, 21, 30, 31, 32, 33, 34 -> strikeCloudOrUsers(world, which, nodes, machine, machines);
+            case 39, 40, 41 -> strikeCommands(world, machines);
             default -> strikeSeveral(world, which, node, machines);
         }
     }
@@ -172,6 +173,17 @@
         }
     }
 
+    /** Commands are held up on their way, and half of the machines fail what they were told to run by other ways. */
+    private static void strikeCommands(World world, List<SimWorker> machines) {
+        world.cloud.lateCommands = 0.8;
+        List<SimWorker> failing =
+                machines.stream().filter(m -> world.chance(0.5)).toList();
+        failing.forEach(m -> m.sick = true);
+        int ms = world.between(5000, 20_000);
+        world.after(ms, () -> world.cloud.lateCommands = 0);
+        world.after(ms, () -> failing.forEach(m -> m.sick = false));
+    }
+
     /** Half of a zone at once, the gap before an outage, or messages lost everywhere. */
     private static void strikeSeveral(World world, int which, SimNode node, List<SimWorker> machines) {
         switch (which) {
