A test that shows a task started too early by a controller that comes back as the version before

Submissions with awaits are refused while the presence of an older version is there. One that crashed before its turn, and whose lease has ended, has none, and comes back as it was; it does not know awaits, and with the other controllers away it starts what waits.

--- a/src/test/java/dewlane/sim/UpgradeTest.java
+++ b/src/test/java/dewlane/sim/UpgradeTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** One version replaces another while both serve, and the state service's limits shrink under what is stored. */
 class UpgradeTest {
@@ -132,6 +133,38 @@
         assertTrue(world.users.isOver(id(2)));
     }
 
+    /**
+     * A controller of the version before is down, its lease has ended, and it comes back as it was: it would start what
+     * awaits other jobs.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void whatIsNewIsRefusedWhileAControllerThatIsDownMayComeBackAsItWas(long seed) {
+        World world = world(seed, NOW, 9);
+        world.nodes.get("n2").crash(25_000);
+        world.nodes.get("n0").upgrade(1000);
+        world.nodes.get("n1").upgrade(1500);
+        world.run(20_000);
+        assertEquals(List.of("n0", "n1"), members(world), "the map knows no controller of the version before");
+        world.users.submit(job(1, Priority.HIGH, 2, 1, 100));
+        world.run(22_000);
+        world.users.submit(job(2, Priority.HIGH, 8, 1, 5).withAwaits(List.of(id(1))));
+        world.run(40_000);
+        assertEquals(3, members(world).size(), "it is back");
+        // With the others away it has all the work.
+        world.nodes.get("n0").crash(15_000);
+        world.nodes.get("n1").crash(15_000);
+        world.run(65_000);
+        assertEquals(List.of(id(1)), world.users.accepted(), "what is new is refused until it is upgraded, too");
+        world.nodes.get("n2").upgrade(2000);
+        calm(world, 250_000);
+        assertTrue(world.users.isOver(id(2)));
+    }
+
+    private static List<String> members(World world) {
+        return Scenarios.map(world).members().stream().map(Value.Member::name).toList();
+    }
+
     /** A value that cannot be read stops nobody; what depends on it is held. */
     @Test
     void aValueThatCannotBeReadHoldsOnlyWhatDependsOnIt() {
