What is new waits until every controller has shown its version; the map keeps who has

That no presence of an older version was there was taken for proof that none would come back. One that is down until its turn has no presence and comes back as it was.

Change: the map names, by controller, the newest form of stored values that it has shown; a job with awaits is taken only once all of the deployment's controllers have. Version 0.1 drops the field from each map that it writes, and must write one to join, so its return undoes the list without its help; a controller that has shown itself and is down holds nothing up. The set that each process kept since its own start is gone, so cuts of slices rest on the same field. A deployment of which one controller never came up takes no such jobs: 503 with Retry-After.

--- a/src/main/java/dewlane/core/MapBuilder.java
+++ b/src/main/java/dewlane/core/MapBuilder.java
@@ -41,9 +41,20 @@
                 List.copyOf(members),
                 Map.copyOf(moved),
                 same ? replica.map().loans() : List.of(),
+                formats(),
                 replica.map() == null ? UnknownFields.NONE : replica.map().unknown()));
     }
 
+    /** What the controllers have shown to know; of those that are not there, what the present map says of them. */
+    private Map<String, Integer> formats() {
+        Map<String, Integer> formats =
+                new HashMap<>(replica.map() == null ? Map.of() : replica.map().formats());
+        replica.presences().forEach((name, presence) -> formats.put(name, presence.format()));
+        formats.put(context.settings().node(), StoredFormat.CURRENT);
+        formats.values().removeIf(format -> format <= StoredFormat.FIRST);
+        return Map.copyOf(formats);
+    }
+
     /** The present map with further loans of shares. */
     ClusterMap lent(List<Loan> lending) {
         ClusterMap map = replica.map();
@@ -56,14 +67,15 @@
             loans.remove(had);
             loans.add(had == null ? l : new Loan(l.team(), l.node(), had.cpus() + l.cpus(), had.gpus() + l.gpus()));
         }
-        ClusterMap lent =
-                new ClusterMap(map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans), map.unknown());
+        ClusterMap lent = new ClusterMap(
+                map.epoch() + 1, map.members(), map.moved(), List.copyOf(loans), formats(), map.unknown());
         if (fits(lent)) {
             return lent;
         }
         // Equal shares take no room: whoever needs more borrows anew.
         context.info("the map has no room for another loan, shares of teams' limits are equal again");
-        return shrunk(new ClusterMap(lent.epoch(), lent.members(), lent.moved(), List.of(), lent.unknown()));
+        return shrunk(
+                new ClusterMap(lent.epoch(), lent.members(), lent.moved(), List.of(), lent.formats(), lent.unknown()));
     }
 
     private boolean fits(ClusterMap map) {
@@ -86,6 +98,7 @@
                     map.members(),
                     Map.copyOf(half),
                     half.isEmpty() ? List.of() : fitting.loans(),
+                    map.formats(),
                     map.unknown());
         }
         return fitting;
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -32,9 +32,6 @@
     private final TransactionQueue transactions;
     private final MapBuilder maps;
     private final String self;
-    /** Controllers that have shown, since this one started, that they know the present form of stored values. */
-    private final Set<String> upgraded = new HashSet<>();
-
     private final Map<String, Long> missingSince = new HashMap<>();
     private final Set<String> claims = new HashSet<>();
     /** What is to be lent with the next map: a share's change for this controller and its opposite for another. */
@@ -111,26 +108,18 @@
 
     /**
      * True if every controller of the deployment has shown that it knows the present form of stored values. One that is
-     * down counts as older until it has: it may come back as it was.
+     * down counts as older until it has: it may come back as it was. What those that are not there have shown is in the
+     * map, from which an older version drops it as it joins.
      */
     boolean allUpgraded() {
-        noteFormats();
-        return upgraded.containsAll(context.settings().peers());
-    }
-
-    /** True if a controller of an older version is running. */
-    boolean olderVersionRuns() {
-        return replica.presences().values().stream().anyMatch(p -> p.format() < StoredFormat.CURRENT);
+        return replica.map() != null && context.settings().peers().stream().allMatch(this::isUpgraded);
     }
 
-    private void noteFormats() {
-        replica.presences().forEach((name, presence) -> {
-            if (presence.format() >= StoredFormat.CURRENT) {
-                upgraded.add(name);
-            } else {
-                upgraded.remove(name);
-            }
-        });
+    private boolean isUpgraded(String node) {
+        Presence presence = replica.presences().get(node);
+        int format =
+                presence != null ? presence.format() : replica.map().formats().getOrDefault(node, StoredFormat.FIRST);
+        return format >= StoredFormat.CURRENT;
     }
 
     boolean leads() {
@@ -168,7 +157,6 @@
             touchedAt = now;
             context.emit(new Effect.TouchLease(lease));
         }
-        noteFormats();
         if (loaded && lease != 0 && !writing && replica.revision() >= writtenAt) {
             if (!joined()) {
                 join();
--- a/src/main/java/dewlane/core/Submissions.java
+++ b/src/main/java/dewlane/core/Submissions.java
@@ -95,8 +95,9 @@
             replies.later(in.id(), "not ready, try again");
         } else if (in.job().awaits().isEmpty()) {
             accept(in, Map.of());
-        } else if (membership.olderVersionRuns()) {
-            replies.later(in.id(), "an upgrade is under way, try again", UPGRADE_RETRY_S);
+        } else if (!membership.allUpgraded()) {
+            replies.later(
+                    in.id(), "not every controller has shown yet that it is upgraded, try again", UPGRADE_RETRY_S);
         } else if (in.job().awaits().contains(in.uid())) {
             reject(in, "the job awaits itself");
         } else if (unknown(in.job(), Map.of()).isEmpty()) {
--- a/src/main/java/dewlane/core/Value.java
+++ b/src/main/java/dewlane/core/Value.java
@@ -131,12 +131,19 @@
      *
      * @param moved machines that could not reach the controller of their part, and the one that took them over
      * @param loans by how much shares of teams' limits differ from equal ones; those of a team add up to nothing
+     * @param formats by controller, live or not, the newest form of stored values that it has shown to know, see
+     *     {@link StoredFormat}. Version 0.1 drops this field from each map that it writes, and it writes one to join
      */
     record ClusterMap(
-            long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans, UnknownFields unknown)
+            long epoch,
+            List<Member> members,
+            Map<String, String> moved,
+            List<Loan> loans,
+            Map<String, Integer> formats,
+            UnknownFields unknown)
             implements Value {
         public ClusterMap(long epoch, List<Member> members, Map<String, String> moved, List<Loan> loans) {
-            this(epoch, members, moved, loans, UnknownFields.NONE);
+            this(epoch, members, moved, loans, Map.of(), UnknownFields.NONE);
         }
 
         public ClusterMap(long epoch, List<Member> members, Map<String, String> moved) {
--- a/src/main/java/dewlane/wire/ValueCodec.java
+++ b/src/main/java/dewlane/wire/ValueCodec.java
@@ -22,7 +22,7 @@
  */
 public final class ValueCodec {
     private static final Set<String> SLICE_FIELDS = Set.of("owner", "first", "count", "launches", "done", "live");
-    private static final Set<String> MAP_FIELDS = Set.of("epoch", "members", "moved", "loans");
+    private static final Set<String> MAP_FIELDS = Set.of("epoch", "members", "moved", "loans", "formats");
     private static final Set<String> MACHINE_FIELDS = Set.of("fate", "reason", "names");
 
     private ValueCodec() {}
@@ -94,6 +94,13 @@
             }
             out.writeEndArray();
         }
+        if (!map.formats().isEmpty()) {
+            out.writeObjectFieldStart("formats");
+            for (Map.Entry<String, Integer> format : map.formats().entrySet()) {
+                out.writeNumberField(format.getKey(), format.getValue());
+            }
+            out.writeEndObject();
+        }
         unknownFields(out, map.unknown());
     }
 
@@ -220,11 +227,14 @@
         members.sort((a, b) -> a.name().compareTo(b.name()));
         Map<String, String> moved = new HashMap<>();
         Json.object(in.get("moved")).forEach((machine, taker) -> moved.put(machine, (String) taker));
+        Map<String, Integer> formats = new HashMap<>();
+        Json.object(in.get("formats")).forEach((node, format) -> formats.put(node, ((Number) format).intValue()));
         return new Value.ClusterMap(
                 epoch,
                 List.copyOf(members),
                 Map.copyOf(moved),
                 loans(Json.list(in, "loans")),
+                Map.copyOf(formats),
                 unknownFields(in, MAP_FIELDS));
     }
 
--- a/src/test/java/dewlane/sim/UpgradeTest.java
+++ b/src/test/java/dewlane/sim/UpgradeTest.java
@@ -148,7 +148,8 @@
         assertEquals(List.of("n0", "n1"), members(world), "the map knows no controller of the version before");
         world.users.submit(job(1, Priority.HIGH, 2, 1, 100));
         world.run(22_000);
-        world.users.submit(job(2, Priority.HIGH, 8, 1, 5).withAwaits(List.of(id(1))));
+        Job waiting = job(2, Priority.HIGH, 8, 1, 5).withAwaits(List.of(id(1)));
+        world.users.submit(waiting);
         world.run(40_000);
         assertEquals(3, members(world).size(), "it is back");
         // With the others away it has all the work.
@@ -157,6 +158,13 @@
         world.run(65_000);
         assertEquals(List.of(id(1)), world.users.accepted(), "what is new is refused until it is upgraded, too");
         world.nodes.get("n2").upgrade(2000);
+        world.run(75_000);
+        // From now on it may be down: it has shown what it knows.
+        world.nodes.get("n2").crash(30_000);
+        world.run(90_000);
+        world.users.submit(waiting);
+        world.run(95_000);
+        assertEquals(List.of(id(1), id(2)), world.users.accepted());
         calm(world, 250_000);
         assertTrue(world.users.isOver(id(2)));
     }
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -11,6 +11,8 @@
 import dewlane.core.PeerStatus;
 import dewlane.core.Priority;
 import dewlane.core.Report;
+import dewlane.core.StoredFormat;
+import dewlane.core.UnknownFields;
 import dewlane.core.Value;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -173,7 +175,9 @@
                                 5,
                                 List.of(new Value.Member("a", 4), new Value.Member("b", 5)),
                                 Map.of("vm-1", "b"),
-                                List.of(new Value.Loan("blue", "a", 1.5, 0), new Value.Loan("blue", "b", -1.5, 0))),
+                                List.of(new Value.Loan("blue", "a", 1.5, 0), new Value.Loan("blue", "b", -1.5, 0)),
+                                Map.of("a", StoredFormat.PIPELINES, "gone", StoredFormat.PIPELINES),
+                                UnknownFields.NONE),
                         Keys.presence("a"),
                         (Value) new Value.Presence(4),
                         Keys.machine("vm-1"),
