--- /dev/null
+++ b/src/test/java/dewlane/core/CommandChannelTest.java
@@ -0,0 +1,206 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.ChannelModel.Message;
+import dewlane.core.ChannelModel.OnWorker;
+import dewlane.core.ChannelModel.Recorded;
+import dewlane.core.ChannelModel.Task;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays every order in which commands, reports and answers about one machine with two attempts may be sent, delivered,
+ * delivered late, lost and given up on, with two commands under way and one raised fence at most, and looks whether an
+ * attempt is launched again after the worker was told to forget it.
+ */
+class CommandChannelTest {
+    private static final int MOST_COMMANDS_UNDER_WAY = 2;
+    private static final int MOST_FENCES = 1;
+    /** What a launch may bring about: the task runs, or is refused or fails at once. */
+    private static final List<OnWorker> STARTED = List.of(OnWorker.RUNNING, OnWorker.ENDED);
+
+    private final Set<String> seen = new HashSet<>();
+    private final Deque<ChannelModel> open = new ArrayDeque<>();
+    private int bothForgotten;
+    private int forgottenBeforeLaunch;
+    private int actions;
+
+    @Test
+    void noOrderOfMessagesLaunchesAnAttemptAgainThatTheWorkerWasToldToForget() {
+        add(new ChannelModel());
+        while (!open.isEmpty()) {
+            expand(open.poll());
+        }
+        System.out.println("interleavings of one machine and two attempts: " + seen.size() + " states by " + actions
+                + " actions, in " + forgottenBeforeLaunch + " a launch is under way of an attempt that was forgotten");
+        assertTrue(bothForgotten > 0, "both attempts can end and be forgotten");
+        assertTrue(forgottenBeforeLaunch > 0, "launches arrive after their attempt was forgotten");
+    }
+
+    private void add(ChannelModel model) {
+        actions++;
+        String description = model.description();
+        assertFalse(model.launchedAgain, () -> "an attempt was launched again: " + description);
+        if (seen.add(description)) {
+            open.add(model);
+            count(model);
+        }
+    }
+
+    private void count(ChannelModel model) {
+        bothForgotten += model.worker.values().stream().allMatch(on -> on == OnWorker.FORGOTTEN) ? 1 : 0;
+        boolean late = model.commands.stream()
+                .flatMap(command -> command.launches().stream())
+                .anyMatch(task -> model.worker.get(task) == OnWorker.FORGOTTEN);
+        forgottenBeforeLaunch += late ? 1 : 0;
+    }
+
+    private void expand(ChannelModel at) {
+        sendCommand(at);
+        for (OnWorker started : STARTED) {
+            for (Message command : at.commands) {
+                deliverCommand(at, command, started, true);
+                deliverCommand(at, command, started, false);
+            }
+            deliverAnswer(at, started);
+        }
+        giveUpOnCommand(at);
+        sendReport(at);
+        takeReport(at);
+        takeLateReport(at);
+        giveUpOnAnswer(at);
+        raiseFence(at);
+        for (Task task : Task.values()) {
+            endOnWorker(at, task);
+            writeEnd(at, task);
+        }
+    }
+
+    private void sendCommand(ChannelModel at) {
+        if (at.controllerWaits || at.commands.size() >= MOST_COMMANDS_UNDER_WAY) {
+            return;
+        }
+        ChannelModel next = new ChannelModel(at);
+        Message orders = next.orders();
+        if (orders.launches().isEmpty() && orders.forgets().isEmpty()) {
+            return;
+        }
+        next.step(channel -> channel.commandSent(orders.launchKeys(), 0));
+        next.commands.add(orders);
+        next.awaited = orders;
+        next.controllerWaits = true;
+        add(next);
+    }
+
+    /** A command arrives, on time or late; its answer reaches a controller that still waits, or is lost. */
+    private void deliverCommand(ChannelModel at, Message command, OnWorker started, boolean answerArrives) {
+        boolean awaited = at.awaited == command;
+        if (answerArrives && !awaited) {
+            return;
+        }
+        ChannelModel next = new ChannelModel(at);
+        next.commands.remove(command);
+        next.execute(command, started);
+        if (awaited) {
+            next.awaited = null;
+        }
+        if (answerArrives) {
+            next.controllerWaits = false;
+            next.step(CommandChannel::commandSettled);
+            next.take(next.newReport());
+        }
+        add(next);
+    }
+
+    private void giveUpOnCommand(ChannelModel at) {
+        if (at.controllerWaits) {
+            ChannelModel next = new ChannelModel(at);
+            next.controllerWaits = false;
+            next.awaited = null;
+            next.step(CommandChannel::commandGivenUp);
+            add(next);
+        }
+    }
+
+    private void sendReport(ChannelModel at) {
+        if (!at.workerWaits) {
+            ChannelModel next = new ChannelModel(at);
+            next.workerWaits = true;
+            next.report = next.newReport();
+            add(next);
+        }
+    }
+
+    private void takeReport(ChannelModel at) {
+        if (at.report != null) {
+            ChannelModel next = new ChannelModel(at);
+            next.report = null;
+            next.answer = next.answerTo(at.report);
+            add(next);
+        }
+    }
+
+    /** A report that the worker no longer waits for is answered as any other, and nobody hears it. */
+    private void takeLateReport(ChannelModel at) {
+        if (at.lateReport != null) {
+            ChannelModel next = new ChannelModel(at);
+            next.lateReport = null;
+            next.answerTo(at.lateReport);
+            add(next);
+        }
+    }
+
+    private void deliverAnswer(ChannelModel at, OnWorker started) {
+        if (at.answer != null) {
+            ChannelModel next = new ChannelModel(at);
+            next.answer = null;
+            next.workerWaits = false;
+            next.execute(at.answer, started);
+            add(next);
+        }
+    }
+
+    /** The worker's time for an answer is over: it drops one that comes later. */
+    private void giveUpOnAnswer(ChannelModel at) {
+        if (at.workerWaits) {
+            ChannelModel next = new ChannelModel(at);
+            next.workerWaits = false;
+            next.answer = null;
+            next.lateReport = at.report == null ? at.lateReport : at.report;
+            next.report = null;
+            add(next);
+        }
+    }
+
+    /** As when the machine is suspected not to hear. */
+    private void raiseFence(ChannelModel at) {
+        if (at.fences < MOST_FENCES) {
+            ChannelModel next = new ChannelModel(at);
+            next.fences++;
+            next.step(CommandChannel::raiseFence);
+            add(next);
+        }
+    }
+
+    private void endOnWorker(ChannelModel at, Task task) {
+        if (at.worker.get(task) == OnWorker.RUNNING) {
+            ChannelModel next = new ChannelModel(at);
+            next.worker.put(task, OnWorker.ENDED);
+            add(next);
+        }
+    }
+
+    private void writeEnd(ChannelModel at, Task task) {
+        if (at.recorded.get(task) == Recorded.END_REPORTED) {
+            ChannelModel next = new ChannelModel(at);
+            next.recorded.put(task, Recorded.END_DURABLE);
+            add(next);
+        }
+    }
+}
--- a/src/test/java/dewlane/core/ControllerFixture.java
+++ b/src/test/java/dewlane/core/ControllerFixture.java
@@ -66,27 +66,7 @@
     }
 
     static Job job(String id, int tasks, double cpus) {
-        return new Job(
-                id,
-                "lot",
-                "blue",
-                Priority.HIGH,
-                tasks,
-                cpus,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                10,
-                0,
-                0,
-                0,
-                1);
+        return JobBuilder.job(id).tasks(tasks).cpus(cpus).acceptedMs(1).build();
     }
 
     @BeforeEach
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -351,27 +351,12 @@
         meet();
         long token = 1L << 20;
         int tasks = 8;
-        Job job = new Job(
-                "wk-2",
-                "lot",
-                "red",
-                Priority.HIGH,
-                tasks,
-                0.25,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                10,
-                0,
-                0,
-                0,
-                1);
+        Job job = JobBuilder.job("wk-2")
+                .team("red")
+                .tasks(tasks)
+                .cpus(0.25)
+                .acceptedMs(1)
+                .build();
         List<Attempt> attempts = new ArrayList<>();
         for (int i = 0; i < tasks; i++) {
             attempts.add(new Attempt(i, 1, "m1", 1, token, 1));
--- a/src/test/java/dewlane/core/DependenciesTest.java
+++ b/src/test/java/dewlane/core/DependenciesTest.java
@@ -39,9 +39,12 @@
     }
 
     private JobRecord record(String id, Priority priority, double deadlineS, String... awaits) {
-        Job job = new Job(
-                id, "lot", "blue", priority, 2, 1, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0,
-                deadlineS, 1000);
+        Job job = JobBuilder.job(id)
+                .priority(priority)
+                .tasks(2)
+                .deadlineS(deadlineS)
+                .acceptedMs(1000)
+                .build();
         return new JobRecord(job.withAwaits(List.of(awaits)), List.of(), 0);
     }
 
--- /dev/null
+++ b/src/test/java/dewlane/core/JobBuilder.java
@@ -0,0 +1,175 @@
+package dewlane.core;
+
+import java.util.List;
+
+/** Builds jobs for tests. What a test does not name is small and ordinary: one task of one CPU, for team blue. */
+public final class JobBuilder {
+    private final String id;
+    private String lot = "lot";
+    private String team = "blue";
+    private Priority priority = Priority.HIGH;
+    private int tasks = 1;
+    private double cpus = 1;
+    private double gpus;
+    private double memoryGb = 1;
+    private String image = "image";
+    private double imageGb = 1;
+    private List<String> types = List.of();
+    private String zone;
+    private boolean oneZone;
+    private boolean spread;
+    private boolean spot = true;
+    private double estimateS = 10;
+    private double checkpointS;
+    private double saveS;
+    private double deadlineS;
+    private long acceptedMs;
+
+    private JobBuilder(String id) {
+        this.id = id;
+    }
+
+    /** Begins a job with the given id. */
+    public static JobBuilder job(String id) {
+        return new JobBuilder(id);
+    }
+
+    /** The kind of job. */
+    public JobBuilder lot(String value) {
+        lot = value;
+        return this;
+    }
+
+    /** The team whose limit it counts against. */
+    public JobBuilder team(String value) {
+        team = value;
+        return this;
+    }
+
+    /** Its priority. */
+    public JobBuilder priority(Priority value) {
+        priority = value;
+        return this;
+    }
+
+    /** The number of its tasks. */
+    public JobBuilder tasks(int value) {
+        tasks = value;
+        return this;
+    }
+
+    /** CPUs a task. */
+    public JobBuilder cpus(double value) {
+        cpus = value;
+        return this;
+    }
+
+    /** GPUs a task. */
+    public JobBuilder gpus(double value) {
+        gpus = value;
+        return this;
+    }
+
+    /** Memory a task, in GB. */
+    public JobBuilder memoryGb(double value) {
+        memoryGb = value;
+        return this;
+    }
+
+    /** The image of its tasks. */
+    public JobBuilder image(String value) {
+        image = value;
+        return this;
+    }
+
+    /** The size of the image, in GB. */
+    public JobBuilder imageGb(double value) {
+        imageGb = value;
+        return this;
+    }
+
+    /** Allowed machine types, empty for any. */
+    public JobBuilder types(List<String> value) {
+        types = value;
+        return this;
+    }
+
+    /** The only allowed zone, or null. */
+    public JobBuilder zone(String value) {
+        zone = value;
+        return this;
+    }
+
+    /** True if all tasks must be in one zone. */
+    public JobBuilder oneZone(boolean value) {
+        oneZone = value;
+        return this;
+    }
+
+    /** True if tasks must be spread over zones. */
+    public JobBuilder spread(boolean value) {
+        spread = value;
+        return this;
+    }
+
+    /** True if it may use spot machines. */
+    public JobBuilder spot(boolean value) {
+        spot = value;
+        return this;
+    }
+
+    /** How long a task is expected to run, in seconds. */
+    public JobBuilder estimateS(double value) {
+        estimateS = value;
+        return this;
+    }
+
+    /** Seconds between checkpoints, 0 for none. */
+    public JobBuilder checkpointS(double value) {
+        checkpointS = value;
+        return this;
+    }
+
+    /** Seconds that saving takes. */
+    public JobBuilder saveS(double value) {
+        saveS = value;
+        return this;
+    }
+
+    /** Seconds from submission, 0 for none. */
+    public JobBuilder deadlineS(double value) {
+        deadlineS = value;
+        return this;
+    }
+
+    /** The time of day at which it was accepted, in milliseconds. */
+    public JobBuilder acceptedMs(long value) {
+        acceptedMs = value;
+        return this;
+    }
+
+    /** The job with all that was named. */
+    public Job build() {
+        return new Job(
+                id,
+                lot,
+                team,
+                priority,
+                tasks,
+                cpus,
+                gpus,
+                memoryGb,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS,
+                acceptedMs);
+    }
+}
--- a/src/test/java/dewlane/core/QuotaTest.java
+++ b/src/test/java/dewlane/core/QuotaTest.java
@@ -28,9 +28,12 @@
     private final List<JobEntry> ready = new ArrayList<>();
 
     private void accepted(String id, Priority priority, int tasks) {
-        Job job = new Job(
-                id, "lot", "blue", priority, tasks, 2, 0, 1, "image", 1, List.of(), null, false, false, true, 10, 0, 0,
-                0, 1);
+        Job job = JobBuilder.job(id)
+                .priority(priority)
+                .tasks(tasks)
+                .cpus(2)
+                .acceptedMs(1)
+                .build();
         replica.apply(new Input.Change(Keys.job(id), new JobRecord(job, List.of(), 0), ready.size() + 1));
         ready.add(replica.job(id));
     }
--- a/src/test/java/dewlane/sim/MeetingsTest.java
+++ b/src/test/java/dewlane/sim/MeetingsTest.java
@@ -18,6 +18,7 @@
 
 import dewlane.core.Effect.Condition;
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
 import dewlane.core.Partitions;
 import dewlane.core.Priority;
@@ -40,27 +41,14 @@
     private static final String JOB = "wk-000001";
 
     private static Job placed(int number, int tasks, String zone, boolean oneZone, boolean spread) {
-        return new Job(
-                id(number),
-                "lot",
-                "blue",
-                Priority.HIGH,
-                tasks,
-                2,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                zone,
-                oneZone,
-                spread,
-                true,
-                30,
-                0,
-                0,
-                0,
-                0);
+        return JobBuilder.job(id(number))
+                .tasks(tasks)
+                .cpus(2)
+                .zone(zone)
+                .oneZone(oneZone)
+                .spread(spread)
+                .estimateS(30)
+                .build();
     }
 
     /**
@@ -186,27 +174,12 @@
         }
         world.run(40_000);
         assertTrue(world.cloud.machines.values().stream().allMatch(m -> m.running() >= 3), "the fleet is full");
-        world.users.submit(new Job(
-                id(7),
-                "lot",
-                "blue",
-                Priority.CRITICAL,
-                8,
-                1,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                5,
-                0,
-                0,
-                20,
-                0));
+        world.users.submit(JobBuilder.job(id(7))
+                .priority(Priority.CRITICAL)
+                .tasks(8)
+                .estimateS(5)
+                .deadlineS(20)
+                .build());
         world.run(75_000);
         assertEquals(8, world.lately("start " + id(7)).lines().count(), "urgent tasks began");
         assertTrue(world.lately("STOPPED").lines().count() > 0, "others were stopped for them");
--- a/src/test/java/dewlane/sim/ScaleTest.java
+++ b/src/test/java/dewlane/sim/ScaleTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
-import dewlane.core.Priority;
 import dewlane.core.Settings;
 import dewlane.core.StateLimits;
 import dewlane.core.Value;
@@ -59,27 +59,14 @@
     }
 
     private static Job job(int i, int tasks) {
-        return new Job(
-                String.format("wk-%06d", i),
-                "lot",
-                "blue",
-                Priority.HIGH,
-                tasks,
-                2,
-                0,
-                4,
-                "image-" + i % 10,
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                9,
-                0,
-                0,
-                60,
-                0);
+        return JobBuilder.job(String.format("wk-%06d", i))
+                .tasks(tasks)
+                .cpus(2)
+                .memoryGb(4)
+                .image("image-" + i % 10)
+                .estimateS(9)
+                .deadlineS(60)
+                .build();
     }
 
     @Test
--- a/src/test/java/dewlane/sim/ScenarioTest.java
+++ b/src/test/java/dewlane/sim/ScenarioTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
 import dewlane.core.Partitions;
 import dewlane.core.Priority;
@@ -27,27 +28,13 @@
     }
 
     private static Job job(int tasks, double cpus, List<String> types, boolean spot, double estimateS) {
-        return new Job(
-                "wk-000001",
-                "lot",
-                "blue",
-                Priority.HIGH,
-                tasks,
-                cpus,
-                0,
-                1,
-                "image",
-                1,
-                types,
-                null,
-                false,
-                false,
-                spot,
-                estimateS,
-                0,
-                0,
-                0,
-                0);
+        return JobBuilder.job("wk-000001")
+                .tasks(tasks)
+                .cpus(cpus)
+                .types(types)
+                .spot(spot)
+                .estimateS(estimateS)
+                .build();
     }
 
     /** Found by the random runs: a demand of a small part of a machine was rounded down to none, for ever. */
@@ -228,27 +215,12 @@
                 .orElseThrow();
         deaf.deafTo = deaf.reportsTo();
         for (int i = 2; i < 60; i++) {
-            world.users.submit(new Job(
-                    String.format("wk-%06d", i),
-                    "lot",
-                    "blue",
-                    Priority.HIGH,
-                    9,
-                    0.02,
-                    0,
-                    0.01,
-                    "image",
-                    1,
-                    List.of(),
-                    null,
-                    false,
-                    false,
-                    true,
-                    1,
-                    0,
-                    0,
-                    0,
-                    0));
+            world.users.submit(JobBuilder.job(String.format("wk-%06d", i))
+                    .tasks(9)
+                    .cpus(0.02)
+                    .memoryGb(0.01)
+                    .estimateS(1)
+                    .build());
             for (int step = 0; step < 10; step++) {
                 world.run(world.now() + 100);
                 boolean launched = world.state.all(Keys.SLICES).entrySet().stream()
@@ -337,27 +309,7 @@
         node.cutFromState = true;
         node.cutFromPeers = true;
         world.run(45_000);
-        world.users.submit(new Job(
-                "wk-000002",
-                "lot",
-                "blue",
-                Priority.HIGH,
-                18,
-                1,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                5,
-                0,
-                0,
-                0,
-                0));
+        world.users.submit(JobBuilder.job("wk-000002").tasks(18).estimateS(5).build());
         world.run(120_000);
         assertNotNull(world.state.get(Keys.fin("wk-000002")), "its machines serve others");
         node.cutFromState = false;
@@ -427,27 +379,7 @@
         Map<String, Integer> waiting = new java.util.HashMap<>();
         for (int i = 2; i < 11; i++) {
             String id = String.format("wk-%06d", i);
-            world.users.submit(new Job(
-                    id,
-                    "lot",
-                    "blue",
-                    Priority.HIGH,
-                    10,
-                    1,
-                    0,
-                    1,
-                    "image",
-                    1,
-                    List.of(),
-                    null,
-                    false,
-                    false,
-                    true,
-                    300,
-                    0,
-                    0,
-                    0,
-                    0));
+            world.users.submit(JobBuilder.job(id).tasks(10).estimateS(300).build());
             world.run(world.now() + 1000);
             ((Value.JobRecord) world.state.get(Keys.job(id)))
                     .deals()
--- a/src/test/java/dewlane/sim/Scenarios.java
+++ b/src/test/java/dewlane/sim/Scenarios.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
 import dewlane.core.Priority;
 import dewlane.core.Settings;
@@ -26,27 +27,12 @@
     }
 
     static Job job(int number, Priority priority, int tasks, double cpus, double estimateS) {
-        return new Job(
-                id(number),
-                "lot",
-                "blue",
-                priority,
-                tasks,
-                cpus,
-                0,
-                1,
-                "image",
-                1,
-                List.of(),
-                null,
-                false,
-                false,
-                true,
-                estimateS,
-                0,
-                0,
-                0,
-                0);
+        return JobBuilder.job(id(number))
+                .priority(priority)
+                .tasks(tasks)
+                .cpus(cpus)
+                .estimateS(estimateS)
+                .build();
     }
 
     static SimNode leader(World world) {
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -3,6 +3,7 @@
 import dewlane.core.Effect;
 import dewlane.core.Effect.Condition;
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Priority;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -40,27 +41,23 @@
         String id = String.format("wk-%06d", next++);
         String team = List.of("blue", "red", "green").get(world.random.nextInt(3));
         boolean oneZone = world.chance(0.15);
-        Job job = new Job(
-                id,
-                "lot",
-                team,
-                Priority.values()[world.random.nextInt(4)],
-                world.between(1, 14),
-                world.between(1, 2),
-                0,
-                world.between(1, 5),
-                "image-" + world.random.nextInt(3),
-                1,
-                world.chance(0.2) ? List.of("large") : List.of(),
-                world.chance(0.2) ? "east" : null,
-                oneZone,
-                !oneZone && world.chance(0.15),
-                world.chance(0.7),
-                world.between(1, 12),
-                world.chance(0.5) ? 5 : 0,
-                world.chance(0.5) ? 2 : 0,
-                world.chance(pipelines) ? 60 : 0,
-                0);
+        Job job = JobBuilder.job(id)
+                .team(team)
+                .priority(Priority.values()[world.random.nextInt(4)])
+                .tasks(world.between(1, 14))
+                .cpus(world.between(1, 2))
+                .memoryGb(world.between(1, 5))
+                .image("image-" + world.random.nextInt(3))
+                .types(world.chance(0.2) ? List.of("large") : List.of())
+                .zone(world.chance(0.2) ? "east" : null)
+                .oneZone(oneZone)
+                .spread(!oneZone && world.chance(0.15))
+                .spot(world.chance(0.7))
+                .estimateS(world.between(1, 12))
+                .checkpointS(world.chance(0.5) ? 5 : 0)
+                .saveS(world.chance(0.5) ? 2 : 0)
+                .deadlineS(world.chance(pipelines) ? 60 : 0)
+                .build();
         submit(world.chance(pipelines) ? job.withAwaits(someAccepted()) : job);
         if (world.chance(0.25)) {
             world.after(world.between(50, 25_000), () -> abort(id, 0));
@@ -144,27 +141,12 @@
         String id = String.format("wk-%06d", 900_000 + next);
         switch (world.random.nextInt(pipelines > 0 ? 5 : 4)) {
             case 0 -> {
-                Job huge = new Job(
-                        id,
-                        "lot",
-                        "red",
-                        Priority.HIGH,
-                        2,
-                        999,
-                        0,
-                        1,
-                        "image",
-                        1,
-                        List.of(),
-                        null,
-                        false,
-                        false,
-                        true,
-                        5,
-                        0,
-                        0,
-                        0,
-                        0);
+                Job huge = JobBuilder.job(id)
+                        .team("red")
+                        .tasks(2)
+                        .cpus(999)
+                        .estimateS(5)
+                        .build();
                 node.submit(huge, a -> expect(a, 422, "a job that fits no machine"));
             }
             case 4 -> {
--- a/src/test/java/dewlane/wire/StoredFormatTest.java
+++ b/src/test/java/dewlane/wire/StoredFormatTest.java
@@ -8,9 +8,9 @@
 import dewlane.core.Attempt;
 import dewlane.core.Input;
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
 import dewlane.core.PeerStatus;
-import dewlane.core.Priority;
 import dewlane.core.StoredFormat;
 import dewlane.core.Value;
 import dewlane.core.Value.Deal;
@@ -43,27 +43,24 @@
     }
 
     private static Job job() {
-        return new Job(
-                "wk-000412",
-                "train",
-                "vision",
-                Priority.HIGH,
-                16,
-                8,
-                1,
-                64,
-                "img-07",
-                6.2,
-                List.of("g8", "g4"),
-                "east",
-                true,
-                false,
-                true,
-                240,
-                30,
-                4,
-                900,
-                1764668400123L);
+        return JobBuilder.job("wk-000412")
+                .lot("train")
+                .team("vision")
+                .tasks(16)
+                .cpus(8)
+                .gpus(1)
+                .memoryGb(64)
+                .image("img-07")
+                .imageGb(6.2)
+                .types(List.of("g8", "g4"))
+                .zone("east")
+                .oneZone(true)
+                .estimateS(240)
+                .checkpointS(30)
+                .saveS(4)
+                .deadlineS(900)
+                .acceptedMs(1764668400123L)
+                .build();
     }
 
     private static Value.Slice slice() {
--- a/src/test/java/dewlane/wire/WireTest.java
+++ b/src/test/java/dewlane/wire/WireTest.java
@@ -7,9 +7,9 @@
 
 import dewlane.core.Attempt;
 import dewlane.core.Job;
+import dewlane.core.JobBuilder;
 import dewlane.core.Keys;
 import dewlane.core.PeerStatus;
-import dewlane.core.Priority;
 import dewlane.core.Report;
 import dewlane.core.StoredFormat;
 import dewlane.core.UnknownFields;
@@ -41,27 +41,22 @@
     void aGoodSubmissionIsRead() {
         Job job = submission(GOOD).job();
         assertEquals(
-                new Job(
-                        "wk-000412",
-                        "train",
-                        "vision",
-                        Priority.HIGH,
-                        16,
-                        8,
-                        1,
-                        64,
-                        "img-07",
-                        6.2,
-                        List.of("g8"),
-                        null,
-                        true,
-                        false,
-                        true,
-                        240,
-                        30,
-                        4,
-                        900,
-                        0),
+                JobBuilder.job("wk-000412")
+                        .lot("train")
+                        .team("vision")
+                        .tasks(16)
+                        .cpus(8)
+                        .gpus(1)
+                        .memoryGb(64)
+                        .image("img-07")
+                        .imageGb(6.2)
+                        .types(List.of("g8"))
+                        .oneZone(true)
+                        .estimateS(240)
+                        .checkpointS(30)
+                        .saveS(4)
+                        .deadlineS(900)
+                        .build(),
                 job);
         assertEquals(
                 0,
