A controller's standing is one typed value, and the log says when it changes

Whether a controller may answer workers, send launches or decide was put together anew in each place from its place in the map, whom it reaches, and the age of its view; and nothing told an operator which case it was in.

Change: Standing holds the six facts, what follows from them, and the first that limits the controller; StandingMonitor gives it at this instant and logs each second whether the limit has changed. WorkerSessions, OrderPlanner, ScaleDown and QuotaRebalancer ask it. Reports that are refused are counted. What is decided stays as it was.

Measured: StandingTest over all 64 combinations, and through an outage, isolation, an expired view and a newer map.

--- a/src/main/java/dewlane/core/Controller.java
+++ b/src/main/java/dewlane/core/Controller.java
@@ -25,6 +25,7 @@
     private final TransactionQueue transactions;
     private final Membership membership;
     private final Cancellations cancellations;
+    private final StandingMonitor standing;
     private final Machines machines;
     private final WorkerSessions sessions;
     private final Placement placement;
@@ -56,11 +57,12 @@
         transactions = new TransactionQueue(context, counters, size);
         machines = new Machines(context, replica);
         membership = new Membership(context, replica, machines, transactions, size);
+        standing = new StandingMonitor(context, membership, cancellations);
         finals = new FinalReader(context, replica);
         dependencies = new Dependencies(context, replica, release, finals);
         Quota quota = new Quota(settings, replica, machines);
         JobDistributor distributor = new JobDistributor(context, replica, machines, quota, release);
-        rebalancer = new QuotaRebalancer(context, replica, membership, quota, distributor, release);
+        rebalancer = new QuotaRebalancer(context, replica, membership, standing, quota, distributor, release);
         LaunchPlanner planner = new LaunchPlanner(context, replica, machines, quota, distributor, counters);
         JobWriter writer = new JobWriter(
                 context,
@@ -77,9 +79,10 @@
         LeftoverCleaner cleaner = new LeftoverCleaner(context, replica, transactions);
         placement = new Placement(
                 context, replica, machines, membership, release, quota, writer, planner, cleaner, counters);
-        sessions = new WorkerSessions(context, replica, machines, membership, placement, cancellations, counters);
+        sessions = new WorkerSessions(
+                context, replica, machines, membership, placement, cancellations, standing, counters);
         failureDetector = new FailureDetector(context, replica, machines, membership, transactions, cancellations);
-        scaleDown = new ScaleDown(context, replica, machines, membership, transactions, placement, release);
+        scaleDown = new ScaleDown(context, replica, machines, membership, standing, transactions, placement, release);
         broadcast = new PeerBroadcast(context, replica, membership, cancellations, placement);
         CloudInventory inventory = new CloudInventory(context, replica, machines, transactions);
         CapacityDemand demand = new CapacityDemand(context, replica, machines, placement, quota, release);
@@ -227,6 +230,7 @@
             if (replica.map() != null) {
                 transactions.shareAmong(replica.map().members().size());
             }
+            standing.tick();
             failureDetector.tick();
             sessions.tick();
             autoscaler.tick();
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -5,6 +5,7 @@
 /** What a controller has done since it last said so; plain counts: equal runs have equal ones. */
 final class Counters {
     long reports;
+    long reportsRefused;
     long changesSeen;
     long attemptsSeen;
     long passes;
@@ -44,7 +45,8 @@
     }
 
     String text() {
-        return "reports " + reports + ", changes seen " + changesSeen + " with " + attemptsSeen + " attempts, passes "
+        return "reports " + reports + ", refused reports " + reportsRefused + ", changes seen " + changesSeen + " with "
+                + attemptsSeen + " attempts, passes "
                 + passes
                 + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands
                 + ", probes "
--- a/src/main/java/dewlane/core/OrderPlanner.java
+++ b/src/main/java/dewlane/core/OrderPlanner.java
@@ -19,6 +19,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Cancellations cancellations;
+    private final StandingMonitor standing;
     private final Counters counters;
     private final OrderLog orderLog;
 
@@ -27,12 +28,14 @@
             Replica replica,
             Machines machines,
             Cancellations cancellations,
+            StandingMonitor standing,
             Counters counters,
             OrderLog orderLog) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.cancellations = cancellations;
+        this.standing = standing;
         this.counters = counters;
         this.orderLog = orderLog;
     }
@@ -110,9 +113,8 @@
         Attempt a = l.attempt;
         if (t == null) {
             // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a
-            // launch
-            // written long ago must not be sent on a view that may lack its job's cancellation.
-            boolean mayLaunch = cancellations.mayLaunch()
+            // launch written long ago must not be sent on a view that may lack its job's cancellation.
+            boolean mayLaunch = standing.now().maySendLaunches()
                     && !cancellations.ended(l.job)
                     && a.session() == m.session
                     && a.token() == m.token()
--- a/src/main/java/dewlane/core/QuotaRebalancer.java
+++ b/src/main/java/dewlane/core/QuotaRebalancer.java
@@ -20,6 +20,7 @@
     private final Context context;
     private final Replica replica;
     private final Membership membership;
+    private final StandingMonitor standing;
     private final Quota quota;
     private final JobDistributor distributor;
     private final Release release;
@@ -29,6 +30,7 @@
             Context context,
             Replica replica,
             Membership membership,
+            StandingMonitor standing,
             Quota quota,
             JobDistributor distributor,
             Release release) {
@@ -36,12 +38,13 @@
         this.context = context;
         this.replica = replica;
         this.membership = membership;
+        this.standing = standing;
         this.quota = quota;
         this.distributor = distributor;
     }
 
     void tick() {
-        if (!membership.joined() || !membership.reachesState() || context.now() - lentAt < PAUSE_MS) {
+        if (!standing.now().mayDecide() || context.now() - lentAt < PAUSE_MS) {
             return;
         }
         for (JobEntry job : replica.jobs()) {
--- a/src/main/java/dewlane/core/ScaleDown.java
+++ b/src/main/java/dewlane/core/ScaleDown.java
@@ -23,6 +23,7 @@
     private final Replica replica;
     private final Machines machines;
     private final Membership membership;
+    private final StandingMonitor standing;
     private final TransactionQueue transactions;
     private final Placement placement;
     private final Release release;
@@ -34,6 +35,7 @@
             Replica replica,
             Machines machines,
             Membership membership,
+            StandingMonitor standing,
             TransactionQueue transactions,
             Placement placement,
             Release release) {
@@ -42,13 +44,13 @@
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
+        this.standing = standing;
         this.transactions = transactions;
         this.placement = placement;
     }
 
     void tick() {
-        if (!membership.joined()
-                || !membership.reachesState()
+        if (!standing.now().mayDecide()
                 || context.now() - returnedAt < GATHER_MS
                 || !transactions.open(TransactionQueue.Urgency.LATER)) {
             return;
--- /dev/null
+++ b/src/main/java/dewlane/core/Standing.java
@@ -0,0 +1,73 @@
+package dewlane.core;
+
+/**
+ * What a controller may do at one instant, by its place in the map, by whom it reaches, and by the age of its view of
+ * the state.
+ *
+ * @param joined the map holds this start of the controller
+ * @param superseded a peer has shown a newer map, which this controller should have read by now
+ * @param isolated neither the state service nor a peer was reached for longer than the controller's own lease
+ * @param reachesState the state service answered lately
+ * @param viewRenewsLeases the view of cancellations is young enough to renew a worker's lease
+ * @param viewLaunches the view of cancellations is young enough to start a task
+ */
+record Standing(
+        boolean joined,
+        boolean superseded,
+        boolean isolated,
+        boolean reachesState,
+        boolean viewRenewsLeases,
+        boolean viewLaunches) {
+    /** The first thing that keeps a controller from doing all it is for. */
+    enum Limit {
+        NOT_JOINED("decides nothing: it is not in the map"),
+        SUPERSEDED("answers no worker: a peer has a newer map"),
+        ISOLATED("answers no worker: it reaches neither the state service nor a peer"),
+        VIEW_EXPIRED("answers no worker: its view of cancellations is too old to renew a lease"),
+        STATE_OUT_OF_REACH("keeps what runs and decides nothing new: the state service does not answer"),
+        VIEW_OLD("keeps what runs and starts nothing: its view of cancellations is old"),
+        NONE("serves in full");
+
+        private final String meaning;
+
+        Limit(String meaning) {
+            this.meaning = meaning;
+        }
+
+        /** What the controller does under the limit, and why, for the log. */
+        String meaning() {
+            return meaning;
+        }
+    }
+
+    /** True if a worker's report may be answered, which renews the worker's lease. */
+    boolean mayAnswerWorkers() {
+        return joined && !superseded && !isolated && viewRenewsLeases;
+    }
+
+    /** True if a launch that is recorded may be sent to its worker. */
+    boolean maySendLaunches() {
+        return viewLaunches;
+    }
+
+    /** True if new decisions may be made, which are then written under conditions. */
+    boolean mayDecide() {
+        return joined && reachesState;
+    }
+
+    /** The first of the limits that holds. */
+    Limit limit() {
+        if (!joined) {
+            return Limit.NOT_JOINED;
+        } else if (superseded) {
+            return Limit.SUPERSEDED;
+        } else if (isolated) {
+            return Limit.ISOLATED;
+        } else if (!viewRenewsLeases) {
+            return Limit.VIEW_EXPIRED;
+        } else if (!reachesState) {
+            return Limit.STATE_OUT_OF_REACH;
+        }
+        return viewLaunches ? Limit.NONE : Limit.VIEW_OLD;
+    }
+}
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -30,7 +30,7 @@
     private final Machines machines;
     private final Membership membership;
     private final Placement placement;
-    private final Cancellations cancellations;
+    private final StandingMonitor standing;
     private final Counters counters;
     private final String self;
     private final OrderPlanner planner;
@@ -43,31 +43,30 @@
             Membership membership,
             Placement placement,
             Cancellations cancellations,
+            StandingMonitor standing,
             Counters counters) {
         this.context = context;
         this.replica = replica;
         this.machines = machines;
         this.membership = membership;
         this.placement = placement;
-        this.cancellations = cancellations;
+        this.standing = standing;
         this.counters = counters;
         this.self = context.settings().node();
         this.orderLog = new OrderLog(context, replica);
-        this.planner = new OrderPlanner(context, replica, machines, cancellations, counters, orderLog);
+        this.planner = new OrderPlanner(context, replica, machines, cancellations, standing, counters, orderLog);
     }
 
     /**
      * Takes a report; {@code id} 0 is one that came with the answer to a command.
      *
      * <p>A controller whose view is stale may miss a cancellation. It lets its workers' leases run out while there is
-     * still time for that: see {@link Cancellations}.
+     * still time for that: see {@link Standing} and {@link Cancellations}.
      */
     void report(long id, Report r) {
         counters.reports++;
-        if (!membership.joined()
-                || membership.superseded()
-                || !cancellations.mayRenewLeases()
-                || membership.isolated()) {
+        if (!standing.now().mayAnswerWorkers()) {
+            counters.reportsRefused++;
             refuse(id);
             return;
         }
@@ -260,7 +259,7 @@
 
     /** Sends what is new straight to the workers; the answers to their reports repeat it. */
     void command() {
-        if (!membership.joined() || machines.changed().isEmpty()) {
+        if (!standing.now().joined() || machines.changed().isEmpty()) {
             return;
         }
         List<Machine> later = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/dewlane/core/StandingTest.java
@@ -0,0 +1,74 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dewlane.core.Standing.Limit;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a controller may do while it lacks its place in the map, the state service, its peers or a young view. */
+class StandingTest extends ControllerFixture {
+    private static final long TOKEN = 1L << 20;
+
+    private static Standing standing(int bits) {
+        return new Standing(
+                (bits & 1) != 0, (bits & 2) != 0, (bits & 4) != 0, (bits & 8) != 0, (bits & 16) != 0, (bits & 32) != 0);
+    }
+
+    @Test
+    void everyLimitTakesAwayWhatItSays() {
+        for (int bits = 0; bits < 64; bits++) {
+            Standing standing = standing(bits);
+            Limit limit = standing.limit();
+            boolean keepsWorkers = limit == Limit.NONE || limit == Limit.VIEW_OLD || limit == Limit.STATE_OUT_OF_REACH;
+            assertEquals(keepsWorkers, standing.mayAnswerWorkers(), standing.toString());
+            if (limit == Limit.NONE) {
+                assertTrue(standing.mayDecide() && standing.maySendLaunches(), standing.toString());
+            } else if (limit == Limit.VIEW_OLD) {
+                assertFalse(standing.maySendLaunches(), standing.toString());
+            } else if (limit == Limit.STATE_OUT_OF_REACH || limit == Limit.NOT_JOINED) {
+                assertFalse(standing.mayDecide(), standing.toString());
+            }
+        }
+    }
+
+    private List<String> said() {
+        return take(Effect.Log.class).stream()
+                .filter(log -> log.level() == Effect.Level.INFO && log.text().startsWith("this controller "))
+                .map(log -> log.text().substring("this controller ".length()))
+                .toList();
+    }
+
+    /** The state service stops to answer while a peer is heard, and later the peer is silent, too. */
+    @Test
+    void theLogSaysWhichCaseItIsIn() {
+        hear(1000, new Input.Tick());
+        assertEquals(List.of(Limit.NONE.meaning()), said());
+        hear(2300, new Input.Tick());
+        assertEquals(List.of(Limit.STATE_OUT_OF_REACH.meaning()), said());
+        for (int i = 0; i < 10; i++) {
+            hear(1000, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+            hear(0, new Input.Tick());
+        }
+        assertEquals(List.of(), said(), "an outage for all changes nothing more");
+        hear(5500, new Input.Tick());
+        assertEquals(List.of(Limit.ISOLATED.meaning()), said());
+        hear(10, new Input.ReportReceived(1, report(1, 1, TOKEN)));
+        assertEquals(1, take(Effect.RefuseReport.class).size());
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+        hear(40_000, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+        hear(0, new Input.Tick());
+        assertEquals(List.of(Limit.VIEW_EXPIRED.meaning()), said());
+        hear(10, new Input.Changes(List.of(), revision));
+        hear(10, new Input.Changes(List.of(), revision));
+        hear(1000, new Input.Tick());
+        assertEquals(List.of(Limit.NONE.meaning()), said());
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 9, true, List.of(), List.of())));
+        hear(1100, new Input.Tick());
+        assertEquals(List.of(Limit.SUPERSEDED.meaning()), said());
+        hear(10, new Input.ReportReceived(2, report(1, 2, TOKEN)));
+        assertEquals(1, take(Effect.RefuseReport.class).size());
+    }
+}
