--- a/src/main/java/dewlane/io/Node.java
+++ b/src/main/java/dewlane/io/Node.java
@@ -3,7 +3,6 @@
 import dewlane.core.Controller;
 import dewlane.core.Effect;
 import dewlane.core.Input;
-import dewlane.core.PeerStatus;
 import dewlane.core.Report;
 import dewlane.core.Settings;
 import dewlane.wire.PeerWire;
@@ -22,13 +21,8 @@
 import io.undertow.util.SameThreadExecutor;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
@@ -43,13 +37,11 @@
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final Logger CORE = LoggerFactory.getLogger(Controller.class);
-    private static final int MAX_BODY = 64 * 1024;
     private static final long TICK_MS = 100;
     /** Users wait 5 s for an answer, and 2 s when they ask about a job. */
     private static final long USER_MS = 4500;
 
     private static final long POLL_MS = 1800;
-    private static final long PEER_MS = 1500;
     private static final long SUMMARY_MS = 60_000;
     private static final int MAX_PENDING = 500;
     private static final HttpString RETRY_AFTER = Headers.RETRY_AFTER;
@@ -65,7 +57,8 @@
     private final StateClient state;
     private final CloudClient cloud;
     private final WorkerPools workers;
-    private final Map<String, HttpPool> peers = new HashMap<>();
+    private final WorkerCommands commands;
+    private final PeerClient peers;
     private final Long2ObjectOpenHashMap<HttpServerExchange> pending = new Long2ObjectOpenHashMap<>();
     /** Requests of users in the order in which they came; most are answered by the time it is looked at. */
     private final Deque<Asked> asked = new ArrayDeque<>();
@@ -100,7 +93,8 @@
                 this::accept);
         this.cloud = new CloudClient(thread, buffers, endpoints.cloud(), this::accept);
         this.workers = new WorkerPools(thread, buffers, endpoints.commands());
-        endpoints.peers().forEach((name, address) -> peers.put(name, new HttpPool(thread, buffers, address, 1)));
+        this.commands = new WorkerCommands(workers, this::accept);
+        this.peers = new PeerClient(thread, buffers, endpoints.peers().values());
     }
 
     /** Starts to listen and to take part. */
@@ -110,7 +104,7 @@
                 .setByteBufferPool(buffers)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, endpoints.inbound())
                 .setSocketOption(Options.CONNECTION_LOW_WATER, endpoints.inbound() - 1)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) HttpExchanges.MAX_BODY)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
@@ -209,7 +203,7 @@
         } else if (effect instanceof Effect.TouchLease e) {
             state.touch(e.lease());
         } else if (effect instanceof Effect.Command e) {
-            command(e);
+            commands.send(e);
         } else if (effect instanceof Effect.ReadCatalog) {
             cloud.catalog();
         } else if (effect instanceof Effect.ListMachines) {
@@ -219,7 +213,7 @@
         } else if (effect instanceof Effect.Delete e) {
             cloud.delete(e.machines());
         } else if (effect instanceof Effect.TellPeers e) {
-            tellPeers(e);
+            peers.tell(e);
         } else if (effect instanceof Effect.Log e) {
             switch (e.level()) {
                 case ERROR -> CORE.error(e.text());
@@ -238,43 +232,7 @@
             exchange.getResponseHeaders().put(RETRY_AFTER, answer.retryAfterS());
         }
         byte[] body = answer.state() != null ? UserWire.state(answer.state()) : UserWire.error(answer.reason());
-        send(exchange, answer.status(), body);
-    }
-
-    private void command(Effect.Command command) {
-        boolean launches = command.orders().stream().anyMatch(o -> o.kind() == dewlane.core.Order.Kind.LAUNCH);
-        byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
-        boolean sent = workers.send(command.address(), WorkerWire.COMMAND, body, (status, answer) -> {
-            Report report = null;
-            try {
-                report = status == 200 || status == 409 ? WorkerWire.report(answer) : null;
-            } catch (IOException | NumberFormatException e) {
-                LOG.error("unreadable report of {}: {}", command.machine(), e.getMessage());
-            }
-            accept(new Input.CommandAnswered(command.machine(), command.token(), launches, report));
-        });
-        if (!sent) {
-            // Nothing went out, so nothing can arrive late: the answers to the machine's reports say the same.
-            accept(new Input.CommandAnswered(command.machine(), command.token(), false, null));
-        }
-    }
-
-    private void tellPeers(Effect.TellPeers tell) {
-        try {
-            List<byte[]> pages = new ArrayList<>();
-            for (PeerStatus page : tell.pages()) {
-                pages.add(PeerWire.status(page));
-            }
-            for (HttpPool pool : peers.values()) {
-                // One that does not answer is told again once its time has run out, of what is true by then.
-                if (!pool.busy()) {
-                    pages.forEach(
-                            page -> pool.send(Methods.POST, PeerWire.STATUS, page, PEER_MS, (status, answer) -> {}));
-                }
-            }
-        } catch (IOException e) {
-            LOG.error("cannot write a status: {}", e.getMessage());
-        }
+        HttpExchanges.send(exchange, answer.status(), body);
     }
 
     private void serve(HttpServerExchange exchange) {
@@ -282,20 +240,20 @@
         HttpString method = exchange.getRequestMethod();
         if (path.equals("/healthz")) {
             if (!method.equals(Methods.GET)) {
-                send(exchange, 405, UserWire.error("use GET"));
+                HttpExchanges.send(exchange, 405, UserWire.error("use GET"));
             } else if (controller.healthy()) {
-                send(exchange, 200, UserWire.error("none"));
+                HttpExchanges.send(exchange, 200, UserWire.error("none"));
             } else {
-                send(exchange, 503, UserWire.error("not ready"));
+                HttpExchanges.send(exchange, 503, UserWire.error("not ready"));
             }
         } else if (path.equals(WorkerWire.REPORT)) {
-            only(exchange, Methods.POST, () -> receive(exchange, this::report));
+            HttpExchanges.only(exchange, Methods.POST, () -> HttpExchanges.receive(exchange, this::report));
         } else if (path.equals(UserWire.RUNS)) {
-            only(exchange, Methods.POST, () -> receive(exchange, this::submit));
+            HttpExchanges.only(exchange, Methods.POST, () -> HttpExchanges.receive(exchange, this::submit));
         } else if (path.startsWith(UserWire.RUNS + "/")) {
             job(exchange, path.substring(UserWire.RUNS.length() + 1));
         } else {
-            send(exchange, 404, UserWire.error("no such path"));
+            HttpExchanges.send(exchange, 404, UserWire.error("no such path"));
         }
     }
 
@@ -304,13 +262,13 @@
         String id = slash < 0 ? rest : rest.substring(0, slash);
         boolean abort = slash >= 0 && rest.substring(slash + 1).equals(UserWire.ABORT);
         if (slash >= 0 && !abort) {
-            send(exchange, 404, UserWire.error("no such path"));
+            HttpExchanges.send(exchange, 404, UserWire.error("no such path"));
         } else if (!exchange.getRequestMethod().equals(abort ? Methods.POST : Methods.GET)) {
-            send(exchange, 405, UserWire.error("use " + (abort ? "POST" : "GET")));
+            HttpExchanges.send(exchange, 405, UserWire.error("use " + (abort ? "POST" : "GET")));
         } else if (!UserWire.isUid(id)) {
-            send(exchange, 404, UserWire.error("no such job"));
+            HttpExchanges.send(exchange, 404, UserWire.error("no such job"));
         } else if (abort) {
-            receive(exchange, (e, body) -> fromUser(e, asked, n -> new Input.Abort(n, id)));
+            HttpExchanges.receive(exchange, (e, body) -> fromUser(e, asked, n -> new Input.Abort(n, id)));
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE, () -> fromUser(exchange, polled, n -> new Input.Poll(n, id)));
@@ -326,7 +284,7 @@
     private void fromUser(
             HttpServerExchange exchange, Deque<Asked> requests, java.util.function.LongFunction<Input> input) {
         if (pending.size() >= MAX_PENDING) {
-            send(exchange, 503, UserWire.error("too busy, try again"));
+            HttpExchanges.send(exchange, 503, UserWire.error("too busy, try again"));
             return;
         }
         long id = nextId++;
@@ -345,7 +303,7 @@
         try {
             report = WorkerWire.report(body);
         } catch (IOException | NumberFormatException e) {
-            send(exchange, 400, UserWire.error("not a report"));
+            HttpExchanges.send(exchange, 400, UserWire.error("not a report"));
             return;
         }
         if (controller.machines() > endpoints.keptReportConnections()) {
@@ -360,64 +318,23 @@
 
     private void servePeer(HttpServerExchange exchange) {
         if (!exchange.getRelativePath().equals(PeerWire.STATUS)) {
-            send(exchange, 404, UserWire.error("no such path"));
+            HttpExchanges.send(exchange, 404, UserWire.error("no such path"));
             return;
         }
-        receive(exchange, (e, body) -> {
+        HttpExchanges.receive(exchange, (e, body) -> {
             try {
                 accept(new Input.PeerHeard(PeerWire.status(body)));
-                send(e, 200, UserWire.error("none"));
+                HttpExchanges.send(e, 200, UserWire.error("none"));
             } catch (IOException | RuntimeException bad) {
-                send(e, 400, UserWire.error("not a status"));
+                HttpExchanges.send(e, 400, UserWire.error("not a status"));
             }
         });
     }
 
-    /** Something done with a request's whole body. */
-    private interface Receiver {
-        void received(HttpServerExchange exchange, byte[] body);
-    }
-
-    private static void only(HttpServerExchange exchange, HttpString method, Runnable then) {
-        if (exchange.getRequestMethod().equals(method)) {
-            then.run();
-        } else {
-            send(exchange, 405, UserWire.error("use " + method));
-        }
-    }
-
-    private static void receive(HttpServerExchange exchange, Receiver receiver) {
-        if (exchange.getRequestContentLength() > MAX_BODY) {
-            exchange.setPersistent(false);
-            send(exchange, 400, UserWire.error("the body is over 64 KiB"));
-            return;
-        }
-        exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (e, body) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> receiver.received(e, body)),
-                        (e, bad) -> {
-                            e.setPersistent(false);
-                            send(e, 400, UserWire.error("the body is over 64 KiB or broke off"));
-                        });
-    }
-
     private void reply(long id, int status, byte[] body) {
         HttpServerExchange exchange = pending.remove(id);
         if (exchange != null) {
-            send(exchange, status, body);
-        }
-    }
-
-    private static void send(HttpServerExchange exchange, int status, byte[] body) {
-        if (exchange.isResponseStarted()) {
-            return;
-        }
-        exchange.setStatusCode(status);
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        if (status == 503 && !exchange.getResponseHeaders().contains(RETRY_AFTER)) {
-            exchange.getResponseHeaders().put(RETRY_AFTER, "1");
+            HttpExchanges.send(exchange, status, body);
         }
-        exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 }
--- /dev/null
+++ b/src/main/java/dewlane/io/WorkerCommands.java
@@ -0,0 +1,49 @@
+package dewlane.io;
+
+import dewlane.core.Effect;
+import dewlane.core.Input;
+import dewlane.core.Order;
+import dewlane.core.Report;
+import dewlane.wire.WorkerWire;
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends direct commands to workers, and tells the core how each ended. */
+final class WorkerCommands {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerCommands.class);
+
+    private final WorkerPools workers;
+    private final Consumer<Input> core;
+
+    WorkerCommands(WorkerPools workers, Consumer<Input> core) {
+        this.workers = workers;
+        this.core = core;
+    }
+
+    void send(Effect.Command command) {
+        boolean launches = command.orders().stream().anyMatch(o -> o.kind() == Order.Kind.LAUNCH);
+        byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
+        boolean sent = workers.send(
+                command.address(),
+                WorkerWire.COMMAND,
+                body,
+                (status, answer) -> core.accept(new Input.CommandAnswered(
+                        command.machine(), command.token(), launches, report(command.machine(), status, answer))));
+        if (!sent) {
+            // Nothing went out, so nothing can arrive late: the answers to the machine's reports say the same.
+            core.accept(new Input.CommandAnswered(command.machine(), command.token(), false, null));
+        }
+    }
+
+    /** The report in an answer, or null if there is none. */
+    private static Report report(String machine, int status, byte[] answer) {
+        try {
+            return status == 200 || status == 409 ? WorkerWire.report(answer) : null;
+        } catch (IOException | NumberFormatException e) {
+            LOG.error("unreadable report of {}: {}", machine, e.getMessage());
+            return null;
+        }
+    }
+}
