--- a/src/main/java/dewlane/core/Autoscaler.java
+++ b/src/main/java/dewlane/core/Autoscaler.java
@@ -214,7 +214,7 @@
 
     private double cost(MachineType type, boolean spot, Job job) {
         double each = type.price(spot) / type.fits(job);
-        double rivalry = 1 + RIVAL * machines.rivals(job.shape(), type);
+        double rivalry = 1 + RIVAL * machines.rivalry().rivals(job.shape(), type);
         double lostS = type.bootS() + job.imageGb() / type.fetchGbPerS();
         return each * rivalry * (1 + lostS / LIFE_S);
     }
--- a/src/main/java/dewlane/core/Cancellations.java
+++ b/src/main/java/dewlane/core/Cancellations.java
@@ -1,6 +1,5 @@
 package dewlane.core;
 
-import dewlane.core.Replica.Delta;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/dewlane/core/Candidates.java
+++ b/src/main/java/dewlane/core/Candidates.java
@@ -44,11 +44,13 @@
             MachineType type = machines.type(m);
             if (m.room(type, spec) < 1
                     || !spec.allows(m.type, m.zone, m.spot)
-                    || (m.failedJobs.contains(job.id) && !machines.work(job.id).faulty())) {
+                    || (m.failedJobs.contains(job.id)
+                            && !machines.progress().of(job.id).faulty())) {
                 continue;
             }
-            double[] of = byType.computeIfAbsent(m.type, t ->
-                    new double[] {spec.imageGb() / type.fetchGbPerS(), machines.rivals(job.shape(), type) * RIVAL_S});
+            double[] of = byType.computeIfAbsent(m.type, t -> new double[] {
+                spec.imageGb() / type.fetchGbPerS(), machines.rivalry().rivals(job.shape(), type) * RIVAL_S
+            });
             found.add(new Candidate(
                     m,
                     (m.spot ? 0 : ORDINARY_S)
--- a/src/main/java/dewlane/core/CapacityDemand.java
+++ b/src/main/java/dewlane/core/CapacityDemand.java
@@ -75,7 +75,8 @@
         Set<Job.Shape> full = new HashSet<>();
         for (JobEntry job : waitingJobs()) {
             Job spec = job.job();
-            ResourceUsage team = teams.computeIfAbsent(spec.team(), t -> new ResourceUsage(machines.use(t)));
+            ResourceUsage team = teams.computeIfAbsent(
+                    spec.team(), t -> new ResourceUsage(machines.teamUsage().of(t)));
             int allowed = Math.min(job.waiting(), quota.room(spec, team));
             team.add(spec, Math.max(0, allowed));
             int left = full.contains(job.shape()) ? allowed : fill(bins, job, allowed);
@@ -125,12 +126,12 @@
                 jobs.add(job);
             }
         }
-        jobs.sort(Comparator.comparingInt(j -> machines.choices(j.shape())));
+        jobs.sort(Comparator.comparingInt(j -> machines.rivalry().choices(j.shape())));
         return jobs;
     }
 
     private boolean faulty(JobEntry job) {
-        JobProgress work = machines.knownWork(job.id);
+        JobProgress work = machines.progress().known(job.id);
         return work != null && work.faulty();
     }
 
--- a/src/main/java/dewlane/core/CloudInventory.java
+++ b/src/main/java/dewlane/core/CloudInventory.java
@@ -121,7 +121,7 @@
     /** Acts on the machines' records. */
     void carryOut() {
         List<String> delete = new ArrayList<>();
-        for (Replica.MachineEntry entry : replica.machineRecords()) {
+        for (MachineRecordIndex.Entry entry : replica.machineRecords()) {
             switch (entry.record().fate()) {
                 case RETURN -> carryOutReturn(entry, delete);
                 case DELETE -> carryOutDelete(entry, delete);
@@ -137,7 +137,7 @@
         }
     }
 
-    private void carryOutReturn(Replica.MachineEntry entry, List<String> delete) {
+    private void carryOutReturn(MachineRecordIndex.Entry entry, List<String> delete) {
         if (gone.containsAll(entry.names())) {
             if (context.now() - goneAt.computeIfAbsent(entry.key(), k -> context.now()) > KEEP_RETURNED_MS) {
                 drop(entry);
@@ -152,7 +152,7 @@
         }
     }
 
-    private void carryOutDelete(Replica.MachineEntry entry, List<String> delete) {
+    private void carryOutDelete(MachineRecordIndex.Entry entry, List<String> delete) {
         if (gone.containsAll(entry.names())) {
             replace(entry, MachineFate.GONE, "deleted");
         } else {
@@ -160,7 +160,7 @@
         }
     }
 
-    private void carryOutGone(Replica.MachineEntry entry, List<String> delete) {
+    private void carryOutGone(MachineRecordIndex.Entry entry, List<String> delete) {
         long since = goneAt.computeIfAbsent(entry.key(), k -> context.now());
         if (context.now() - since < KEEP_GONE_MS / 2) {
             entry.names().stream().filter(listedAt::containsKey).forEach(delete::add);
@@ -202,7 +202,7 @@
     }
 
     private void record(String name, MachineFate fate, String reason) {
-        Replica.MachineEntry known = replica.machines().get(name);
+        MachineRecordIndex.Entry known = replica.machines().get(name);
         if (known == null) {
             write(Keys.machine(name), 0, new MachineRecord(fate, reason, List.of()));
         } else if (known.record().fate() != fate && known.record().names().isEmpty()) {
@@ -210,7 +210,7 @@
         }
     }
 
-    private void replace(Replica.MachineEntry entry, MachineFate fate, String reason) {
+    private void replace(MachineRecordIndex.Entry entry, MachineFate fate, String reason) {
         List<List<String>> parts =
                 MachineRecords.split(entry.record().names(), context.settings().valueBytes());
         if (parts.size() > 1) {
@@ -225,7 +225,8 @@
     }
 
     /** A record that was stored under larger limits becomes several, as many as one transaction holds at a time. */
-    private void replaceLarge(Replica.MachineEntry entry, MachineFate fate, String reason, List<List<String>> parts) {
+    private void replaceLarge(
+            MachineRecordIndex.Entry entry, MachineFate fate, String reason, List<List<String>> parts) {
         if (!writing.add(entry.key())) {
             return;
         }
@@ -253,7 +254,7 @@
         }
     }
 
-    private void drop(Replica.MachineEntry entry) {
+    private void drop(MachineRecordIndex.Entry entry) {
         String key = entry.key();
         if (writing.add(key)) {
             Transaction txn = new Transaction.Builder()
--- a/src/main/java/dewlane/core/Dependencies.java
+++ b/src/main/java/dewlane/core/Dependencies.java
@@ -1,7 +1,6 @@
 package dewlane.core;
 
 import dewlane.core.Release.Result;
-import dewlane.core.Replica.Delta;
 import dewlane.core.Value.FinalRecord;
 import java.util.ArrayDeque;
 import java.util.Collection;
--- /dev/null
+++ b/src/main/java/dewlane/core/JobProgressTable.java
@@ -0,0 +1,103 @@
+package dewlane.core;
+
+import dewlane.core.Value.Slice;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What this controller is doing for each job. A launch counts on its machine and for its team from the moment it is
+ * decided, until the replica shows it or it turns out that it was not written.
+ */
+final class JobProgressTable {
+    private final Context context;
+    private final Replica replica;
+    private final TeamUsage teamUsage;
+    private final Map<String, JobProgress> byJob = new HashMap<>();
+    /** Jobs with launches that the replica does not show yet, and jobs that are over. */
+    private final Set<String> settling = new LinkedHashSet<>();
+
+    JobProgressTable(Context context, Replica replica, TeamUsage teamUsage) {
+        this.context = context;
+        this.replica = replica;
+        this.teamUsage = teamUsage;
+    }
+
+    /** What is being done for the job. */
+    JobProgress of(String job) {
+        return byJob.computeIfAbsent(job, j -> new JobProgress());
+    }
+
+    /** What is being done for the job, or null if that was nothing so far. */
+    JobProgress known(String job) {
+        return byJob.get(job);
+    }
+
+    /** A launch was decided. */
+    void launching(String job, JobProgress.Launch launch) {
+        of(job).launching.add(launch);
+        settling.add(job);
+        launch.machine().use.add(launch.spec());
+        teamUsage.add(launch.spec(), context.settings().node(), 1);
+    }
+
+    /** The replica shows a slice, null if it is gone: launches up to its latest are counted from there. */
+    void shown(String job, int slice, Slice after) {
+        JobProgress progress = byJob.get(job);
+        if (progress == null || after == null || progress.launching.isEmpty()) {
+            return;
+        }
+        progress.launching.removeIf(launch -> {
+            boolean seen = launch.slice() == slice
+                    && after.launches() >= launch.attempt().number();
+            if (seen) {
+                uncount(launch);
+            }
+            return seen;
+        });
+    }
+
+    /** The job has no record any more. */
+    void over(String job) {
+        if (byJob.containsKey(job)) {
+            settling.add(job);
+        }
+    }
+
+    private void uncount(JobProgress.Launch launch) {
+        launch.machine().use.remove(launch.spec());
+        teamUsage.add(launch.spec(), context.settings().node(), -1);
+        launch.machine().idleIfEmpty(context.now());
+    }
+
+    /** Counts the launches that the replica does not show for this controller, after owners were counted anew. */
+    void countLaunchesAnew() {
+        String self = context.settings().node();
+        byJob.values().forEach(progress -> progress.launching.forEach(l -> teamUsage.addToOwner(l.spec(), self, 1)));
+    }
+
+    /**
+     * Takes back what was counted for launches whose write was refused: once the answer is in and the replica has
+     * reached it, whatever it does not show by then was not launched.
+     */
+    void settle() {
+        for (Iterator<String> i = settling.iterator(); i.hasNext(); ) {
+            String id = i.next();
+            JobProgress progress = byJob.get(id);
+            if (progress != null && progress.busy(replica.revision(), Long.MAX_VALUE)) {
+                continue;
+            }
+            i.remove();
+            if (progress != null) {
+                progress.launching.forEach(this::uncount);
+                progress.launching.clear();
+                JobEntry job = replica.job(id);
+                if (job == null || job.job() == null) {
+                    byJob.remove(id);
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/dewlane/core/JobWriter.java
+++ b/src/main/java/dewlane/core/JobWriter.java
@@ -70,7 +70,7 @@
 
     /** Writes what there is to say of a job; launches only if allowed. */
     void step(JobEntry job, boolean launches) {
-        JobProgress work = machines.work(job.id);
+        JobProgress work = machines.progress().of(job.id);
         if (work.busy(replica.revision(), context.now())
                 || replica.isHeld(job.id)
                 || !transactions.open(TransactionQueue.Urgency.OUTCOME)) {
--- a/src/main/java/dewlane/core/LaunchPlanner.java
+++ b/src/main/java/dewlane/core/LaunchPlanner.java
@@ -158,7 +158,7 @@
                 live.add(a);
                 JobProgress.Launch launch = new JobProgress.Launch(m, a, slice.number, spec);
                 update.launch(launch);
-                machines.launching(update.job, launch);
+                machines.progress().launching(update.job.id, launch);
                 if (spec.placesLinked()) {
                     zones.merge(m.zone, 1, Integer::sum);
                 }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -191,6 +191,13 @@
         }
     }
 
+    /** Nothing may be on it any more: it is idle from now on. */
+    void idleIfEmpty(long now) {
+        if (live.isEmpty() && use.none()) {
+            idleSince = now;
+        }
+    }
+
     boolean heardWithin(long now, long ms) {
         return heardAt != 0 && now - heardAt <= ms;
     }
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -1,14 +1,10 @@
 package dewlane.core;
 
-import dewlane.core.Replica.Delta;
 import dewlane.core.Value.ClusterMap;
 import dewlane.core.Value.Slice;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,10 +16,9 @@
  * replica change by change: nothing here is counted anew.
  */
 final class Machines {
-    private record Rivalry(Job.Shape shape, String type) {}
-
     private final Context context;
     private final Replica replica;
+    private final PeerTable peers;
     private final String self;
     private final Map<String, Machine> byName = new LinkedHashMap<>();
     /** Machines of this controller's part. */
@@ -33,31 +28,21 @@
 
     private final Set<String> gone = new HashSet<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
-    private final Map<String, JobProgress> works = new HashMap<>();
-    /** Jobs with launches that the replica does not show yet. */
-    private final Set<String> settling = new LinkedHashSet<>();
-
-    private final Map<String, ResourceUsage> teamUse = new HashMap<>();
-    /** By controller and team. */
-    private final Map<String, Map<String, ResourceUsage>> ownerUse = new HashMap<>();
-    /** Shapes of the jobs that are not over, and how many have each. */
-    private final Object2IntOpenHashMap<Job.Shape> shapes = new Object2IntOpenHashMap<>();
-    /** As of the present shapes: the question is asked for every job and type. */
-    private final Map<Rivalry, Integer> rivals = new HashMap<>();
-    /** What the other controllers last said, and when. */
-    private final Map<String, PeerStatus> peers = new HashMap<>();
-
-    private final Map<String, Long> peersHeardAt = new HashMap<>();
-
-    Machines(Context context, Replica replica) {
+    private final TeamUsage teamUsage = new TeamUsage();
+    private final JobProgressTable progress;
+    private final ShapeRivalry rivalry = new ShapeRivalry(types);
+
+    Machines(Context context, Replica replica, PeerTable peers) {
         this.context = context;
         this.replica = replica;
+        this.peers = peers;
         this.self = context.settings().node();
+        this.progress = new JobProgressTable(context, replica, teamUsage);
     }
 
     void catalog(List<MachineType> read) {
         types.clear();
-        rivals.clear();
+        rivalry.typesChanged();
         for (MachineType t : read) {
             types.put(t.name(), t);
         }
@@ -68,6 +53,11 @@
         return types.values();
     }
 
+    /** Which jobs could use which types. */
+    ShapeRivalry rivalry() {
+        return rivalry;
+    }
+
     MachineType type(String name) {
         return types.get(name);
     }
@@ -118,23 +108,14 @@
         return gone.contains(name);
     }
 
-    JobProgress work(String job) {
-        return works.computeIfAbsent(job, j -> new JobProgress());
+    /** What this controller is doing for each job. */
+    JobProgressTable progress() {
+        return progress;
     }
 
-    /** The work on a job, or null if this controller has had none. */
-    JobProgress knownWork(String job) {
-        return works.get(job);
-    }
-
-    /** What a team's tasks may be using, gone ones included until the proof is durable. */
-    ResourceUsage use(String team) {
-        return teamUse.computeIfAbsent(team, t -> new ResourceUsage());
-    }
-
-    /** What of a team's use counts against a controller: that of the slices it owns. */
-    ResourceUsage use(String team, String node) {
-        return ownerUse.computeIfAbsent(node, n -> new HashMap<>()).computeIfAbsent(team, t -> new ResourceUsage());
+    /** What the teams' tasks may be using. */
+    TeamUsage teamUsage() {
+        return teamUsage;
     }
 
     void follow(Delta delta) {
@@ -164,14 +145,12 @@
     private void job(Delta.JobChanged d) {
         JobEntry job = d.job();
         if (d.before() == null && d.after() != null) {
-            shapeCounts(d.after().job().shape(), 1);
+            rivalry.came(d.after().job().shape());
             job.slices().forEach(s -> diff(job, job.job(), s, null, s.value()));
         } else if (d.before() != null && d.after() == null) {
-            shapeCounts(d.before().job().shape(), -1);
+            rivalry.went(d.before().job().shape());
             job.slices().forEach(s -> diff(job, d.before().job(), s, s.value(), null));
-            if (works.containsKey(job.id)) {
-                settling.add(job.id);
-            }
+            progress.over(job.id);
         } else if (d.after() != null && d.after().aborted()) {
             touchAll(job);
         }
@@ -182,29 +161,9 @@
         job.slices().forEach(s -> s.value().attempts().forEach(a -> touch(of(a.machine()))));
     }
 
-    private void shapeCounts(Job.Shape shape, int by) {
-        int n = shapes.addTo(shape, by) + by;
-        if (n == 0) {
-            shapes.removeInt(shape);
-        }
-        if (n == 0 || by == n) {
-            rivals.clear();
-        }
-    }
-
     private void slice(JobEntry job, SliceEntry slice, Slice before, Slice after) {
         if (job.job() != null) {
-            JobProgress work = works.get(job.id);
-            if (work != null && after != null && !work.launching.isEmpty()) {
-                work.launching.removeIf(l -> {
-                    boolean seen = l.slice() == slice.number
-                            && after.launches() >= l.attempt().number();
-                    if (seen) {
-                        uncount(l.machine(), l.spec());
-                    }
-                    return seen;
-                });
-            }
+            progress.shown(job.id, slice.number, after);
             diff(job, job.job(), slice, before, after);
         }
     }
@@ -233,7 +192,7 @@
         m.live.put(live.key, live);
         m.use.add(spec);
         live.countedFor = Partitions.owner(replica.map(), slice.key, slice.value());
-        count(spec, live.countedFor, 1);
+        teamUsage.add(spec, live.countedFor, 1);
         touch(m);
     }
 
@@ -247,13 +206,13 @@
         if (!live.over) {
             m.use.remove(spec);
         }
-        count(spec, live.countedFor, -1);
+        teamUsage.add(spec, live.countedFor, -1);
         m.stops.remove(key);
-        JobProgress work = works.get(job.id);
+        JobProgress work = progress.known(job.id);
         if (work != null) {
             work.outcomes.remove(key);
         }
-        idleFrom(m);
+        m.idleIfEmpty(context.now());
         touch(m);
         dropIfGone(m);
     }
@@ -266,56 +225,6 @@
         }
     }
 
-    /** Counts a launch from the moment it is decided. */
-    void launching(JobEntry job, JobProgress.Launch launch) {
-        work(job.id).launching.add(launch);
-        settling.add(job.id);
-        launch.machine().use.add(launch.spec());
-        count(launch.spec(), self, 1);
-    }
-
-    private void count(Job spec, String owner, int tasks) {
-        use(spec.team()).add(spec, tasks);
-        if (owner != null) {
-            use(spec.team(), owner).add(spec, tasks);
-        }
-    }
-
-    private void uncount(Machine m, Job job) {
-        m.use.remove(job);
-        count(job, self, -1);
-        idleFrom(m);
-    }
-
-    private void idleFrom(Machine m) {
-        if (m.live.isEmpty() && m.use.none()) {
-            m.idleSince = context.now();
-        }
-    }
-
-    /**
-     * Takes back what was counted for launches whose write was refused: once the answer is in and the replica has
-     * reached it, whatever it does not show by then was not launched.
-     */
-    void settle() {
-        for (Iterator<String> i = settling.iterator(); i.hasNext(); ) {
-            String id = i.next();
-            JobProgress work = works.get(id);
-            if (work != null && work.busy(replica.revision(), Long.MAX_VALUE)) {
-                continue;
-            }
-            i.remove();
-            if (work != null) {
-                work.launching.forEach(l -> uncount(l.machine(), l.spec()));
-                work.launching.clear();
-                JobEntry job = replica.job(id);
-                if (job == null || job.job() == null) {
-                    works.remove(id);
-                }
-            }
-        }
-    }
-
     private void dropIfGone(Machine m) {
         if (m.live.isEmpty() && gone.contains(m.name)) {
             byName.remove(m.name);
@@ -333,18 +242,14 @@
 
     /** Under another map slices have other owners. */
     private void recount() {
-        ownerUse.clear();
+        teamUsage.forgetOwners();
         for (Machine m : byName.values()) {
             for (Machine.Live l : m.live.values()) {
                 l.countedFor = Partitions.owner(replica.map(), l.slice.key, l.slice.value());
-                if (l.countedFor != null) {
-                    use(l.job.job().team(), l.countedFor).add(l.job.job());
-                }
+                teamUsage.addToOwner(l.job.job(), l.countedFor, 1);
             }
         }
-        works.values()
-                .forEach(
-                        w -> w.launching.forEach(l -> use(l.spec().team(), self).add(l.spec())));
+        progress.countLaunchesAnew();
     }
 
     /** The machine's owner under the present map; one that this controller did not have all along begins anew. */
@@ -382,10 +287,9 @@
         return m;
     }
 
-    void peer(PeerStatus status) {
-        peers.put(status.node(), status);
-        peersHeardAt.put(status.node(), context.now());
-        String start = start(status.node());
+    /** Learns the machines that a peer told of. */
+    void learnFrom(PeerStatus status) {
+        String start = peers.start(status.node());
         for (PeerStatus.PeerMachine p : status.machines()) {
             Machine m = learn(p.name(), p.address(), p.type(), p.zone(), p.spot());
             if (m != null) {
@@ -399,81 +303,21 @@
         }
     }
 
-    /** Names this start of a controller: one that restarted has not heard its machines yet. */
-    String start(String node) {
-        long incarnation = replica.map() == null ? 0 : replica.map().incarnation(node);
-        return incarnation == 0 ? null : node + "@" + incarnation;
-    }
-
     /** True if the machine's owner, another controller, said within the last few seconds that it takes tasks. */
     boolean listedByOwner(Machine m) {
         return m.listedBy != null
                 && m.owner != null
                 && context.now() - m.listedAt <= 5000
-                && m.listedBy.equals(start(m.owner));
-    }
-
-    /** True if a peer said within the last few seconds that it reaches the state service. */
-    boolean peersReachState() {
-        return peers.keySet().stream()
-                .anyMatch(node -> peer(node) != null && peer(node).stateReachable());
-    }
-
-    /** True if the controller said something within the given time. */
-    boolean heard(String node, long ms) {
-        Long at = peersHeardAt.get(node);
-        return at != null && context.now() - at <= ms;
-    }
-
-    /** True if there are other controllers and none of them was heard within the given time. */
-    boolean alone(long ms) {
-        return !context.settings().peers().isEmpty()
-                && peersHeardAt.values().stream().allMatch(at -> context.now() - at > ms);
-    }
-
-    /** What a peer said within the last few seconds, or null. */
-    PeerStatus peer(String node) {
-        Long at = peersHeardAt.get(node);
-        return at == null || context.now() - at > 5000 ? null : peers.get(node);
+                && m.listedBy.equals(peers.start(m.owner));
     }
 
     /** A machine is at fault once tasks of two jobs failed on it that do not fail everywhere. */
     boolean faulty(Machine m) {
         int blamed = 0;
         for (String job : m.failedJobs) {
-            JobProgress work = works.get(job);
+            JobProgress work = progress.known(job);
             blamed += work == null || !work.faulty() ? 1 : 0;
         }
         return blamed >= 2;
     }
-
-    /** How many types the tasks of a shape fit on and may use. */
-    int choices(Job.Shape shape) {
-        int n = 0;
-        for (MachineType t : types.values()) {
-            n += shape.allowsType(t.name()) && t.holds(shape) ? 1 : 0;
-        }
-        return n;
-    }
-
-    /**
-     * 1 if an active job with fewer types to choose from could use the type, so that a job of the shape had better go
-     * elsewhere; 0 if not.
-     */
-    int rivals(Job.Shape shape, MachineType type) {
-        return rivals.computeIfAbsent(new Rivalry(shape, type.name()), r -> countRivals(shape, type));
-    }
-
-    private int countRivals(Job.Shape shape, MachineType type) {
-        int choices = choices(shape);
-        for (Job.Shape other : shapes.keySet()) {
-            if ((other.cpus() != shape.cpus() || other.memoryGb() != shape.memoryGb())
-                    && type.holds(other)
-                    && other.allowsType(type.name())
-                    && choices(other) < choices) {
-                return 1;
-            }
-        }
-        return 0;
-    }
 }
--- a/src/main/java/dewlane/core/Membership.java
+++ b/src/main/java/dewlane/core/Membership.java
@@ -28,7 +28,7 @@
 
     private final Context context;
     private final Replica replica;
-    private final Machines machines;
+    private final PeerTable peers;
     private final TransactionQueue transactions;
     private final MapBuilder maps;
     private final String self;
@@ -49,11 +49,11 @@
     private long newerSince;
     private long claimedAt = Long.MIN_VALUE / 2;
 
-    Membership(Context context, Replica replica, Machines machines, TransactionQueue transactions, ValueSize size) {
+    Membership(Context context, Replica replica, PeerTable peers, TransactionQueue transactions, ValueSize size) {
         this.maps = new MapBuilder(context, replica, size);
         this.context = context;
         this.replica = replica;
-        this.machines = machines;
+        this.peers = peers;
         this.transactions = transactions;
         this.self = context.settings().node();
     }
@@ -85,7 +85,7 @@
      */
     boolean isolated() {
         long ms = context.settings().tuning().memberTtlMs() + ISOLATED_MS;
-        return silence() > ms && machines.alone(ms);
+        return silence() > ms && peers.noneHeard(ms);
     }
 
     /** The epoch at which this controller last joined. */
--- a/src/main/java/dewlane/core/OrderPlanner.java
+++ b/src/main/java/dewlane/core/OrderPlanner.java
@@ -118,7 +118,7 @@
                     && !cancellations.ended(l.job)
                     && a.session() == m.session
                     && a.token() == m.token()
-                    && !machines.work(l.job.id).outcomes.containsKey(l.key);
+                    && !machines.progress().of(l.job.id).outcomes.containsKey(l.key);
             return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
         }
         if (t.phase() == Phase.EXITED) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -81,7 +81,7 @@
 
     /** Looks at all jobs for what can be written, at the machines of this part, and at no other. */
     void pass() {
-        machines.settle();
+        machines.progress().settle();
         if (!membership.joined()) {
             usable = List.of();
             return;
@@ -140,7 +140,7 @@
     }
 
     private boolean hasToDo(JobEntry job) {
-        JobProgress work = machines.knownWork(job.id);
+        JobProgress work = machines.progress().known(job.id);
         if (work != null && !work.outcomes.isEmpty()) {
             return true;
         }
@@ -159,7 +159,7 @@
     /** All that was on a machine that is proven gone is gone. */
     private void takeProof(Machine m) {
         for (Live l : m.live.values()) {
-            record(machines.work(l.job.id), l, Outcome.GONE);
+            record(machines.progress().of(l.job.id), l, Outcome.GONE);
         }
     }
 
--- a/src/main/java/dewlane/core/Quota.java
+++ b/src/main/java/dewlane/core/Quota.java
@@ -87,7 +87,7 @@
         }
         return limited(job) && shared(team)
                 ? roomInShare(team, job)
-                : machines.use(job.team()).room(team, job);
+                : machines.teamUsage().of(job.team()).room(team, job);
     }
 
     /** True if something is stored that cannot be read and may tell of further tasks of the team. */
@@ -106,7 +106,7 @@
         double othersGpus = 0;
         for (Value.Member member : replica.map().members()) {
             if (!member.name().equals(settings.node())) {
-                ResourceUsage use = machines.use(job.team(), member.name());
+                ResourceUsage use = machines.teamUsage().of(job.team(), member.name());
                 Amount share = share(team, member.name());
                 othersCpus += Math.max(use.cpus(), share.cpus());
                 othersGpus += Math.max(use.gpus(), share.gpus());
@@ -117,7 +117,7 @@
     }
 
     private int room(Settings.Team team, Job job, String node, Amount share) {
-        ResourceUsage use = machines.use(job.team(), node);
+        ResourceUsage use = machines.teamUsage().of(job.team(), node);
         return Math.min(
                 use.room(team.cpusMax(), share.cpus(), true, job), use.room(team.gpusMax(), share.gpus(), false, job));
     }
@@ -128,19 +128,21 @@
         if (!limited(job)) {
             return Integer.MAX_VALUE;
         }
-        return shared(team) ? room(team, job, node, share(team, node)) : room(job, machines.use(job.team()));
+        return shared(team)
+                ? room(team, job, node, share(team, node))
+                : room(job, machines.teamUsage().of(job.team()));
     }
 
     /** What a controller leaves of its share of the team's limit; less than nothing if it has inherited too much. */
     Amount spare(Job job, String node) {
         Amount share = share(team(job), node);
-        ResourceUsage use = machines.use(job.team(), node);
+        ResourceUsage use = machines.teamUsage().of(job.team(), node);
         return new Amount(share.cpus() - use.cpus(), share.gpus() - use.gpus());
     }
 
     /** True if the team as a whole has room for more, though perhaps not in this controller's share. */
     boolean spare(Job job) {
-        return team(job) != null && room(job, machines.use(job.team())) > 0;
+        return team(job) != null && room(job, machines.teamUsage().of(job.team())) > 0;
     }
 
     /** How many more fit if the team used so much in all. */
@@ -181,14 +183,14 @@
     /** True if the team uses more than its guarantee. */
     boolean borrows(Job job) {
         Settings.Team team = team(job);
-        ResourceUsage use = machines.use(job.team());
+        ResourceUsage use = machines.teamUsage().of(job.team());
         return team == null || use.cpus() > team.cpus() + 1e-9 || use.gpus() > team.gpus() + 1e-9;
     }
 
     /** Makes a launch conditional on the count it was decided by. */
     void guard(Transaction.Builder txn, Job job) {
         if (lends(job)) {
-            ResourceUsage use = machines.use(job.team());
+            ResourceUsage use = machines.teamUsage().of(job.team());
             txn.when(Keys.team(job.team()), replica.teamVersion(job.team()));
             txn.set(Keys.team(job.team()), new Value.TeamRecord(use.cpus(), use.gpus()));
             settledAt.put(job.team(), Long.MAX_VALUE);
--- a/src/main/java/dewlane/core/Replica.java
+++ b/src/main/java/dewlane/core/Replica.java
@@ -5,14 +5,11 @@
 import dewlane.core.Value.ClusterMap;
 import dewlane.core.Value.FinalRecord;
 import dewlane.core.Value.JobRecord;
-import dewlane.core.Value.MachineRecord;
 import dewlane.core.Value.Presence;
 import dewlane.core.Value.Slice;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -25,43 +22,13 @@
  * whatever it shows is durable and nothing in it is newer than the revision.
  */
 public final class Replica {
-    /** What a change of the state service changed here; told after the change is in place. */
-    sealed interface Delta {
-        /** A slice has another value; null where it is new or gone. */
-        record SliceChanged(JobEntry job, SliceEntry slice, Slice before, Slice after) implements Delta {}
-
-        /** A job has another record; null where it is new or gone. */
-        record JobChanged(JobEntry job, JobRecord before, JobRecord after) implements Delta {}
-
-        /** The map is another; {@code complete} if no map between the two was missed. */
-        record MapChanged(ClusterMap before, ClusterMap after, boolean complete) implements Delta {}
-
-        /** A machine has a record. */
-        record MachineChanged(String name, MachineRecord after) implements Delta {}
-
-        /** A job's final state became known. */
-        record Ended(String job, FinalRecord result) implements Delta {}
-
-        /** A key has a value that cannot be read. */
-        record Unread(String key, String reason) implements Delta {}
-    }
-
-    /** A record of one or several machines, its key, and the version of that. */
-    public record MachineEntry(String key, MachineRecord record, long version) {
-        /** The machines that the record is about. */
-        public List<String> names() {
-            return record.names().isEmpty() ? List.of(key.substring(Keys.MACHINES.length())) : record.names();
-        }
-    }
-
     private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
-    private final Map<String, MachineEntry> machines = new LinkedHashMap<>();
-    private final Map<String, MachineEntry> machineKeys = new LinkedHashMap<>();
+    private final MachineRecordIndex machines = new MachineRecordIndex();
     private final Map<String, Presence> presences = new LinkedHashMap<>();
     /** Jobs of which only slices are left. */
     private final Set<JobEntry> leftovers = new LinkedHashSet<>();
-    /** Keys of jobs and slices whose values cannot be read, by job. */
-    private final Map<String, Set<String>> unreadable = new HashMap<>();
+
+    private final UnreadableKeys unreadable = new UnreadableKeys();
 
     private final Object2LongOpenHashMap<String> teams = new Object2LongOpenHashMap<>();
     private final Cache<String, FinalRecord> finals =
@@ -92,7 +59,6 @@
         leftovers.clear();
         unreadable.clear();
         machines.clear();
-        machineKeys.clear();
         presences.clear();
         teams.clear();
         mapVersion = 0;
@@ -148,55 +114,27 @@
      */
     private void noteUnreadable(String key, String reason) {
         if (key.startsWith(Keys.SLICES) || key.startsWith(Keys.JOBS)) {
-            unreadable.computeIfAbsent(jobOf(key), k -> new HashSet<>()).add(key);
+            unreadable.add(key);
         } else if (key.startsWith(Keys.PRESENCE)) {
             presences.put(key.substring(Keys.PRESENCE.length()), new Presence(0, StoredFormat.FIRST));
         }
         follower.accept(new Delta.Unread(key, reason));
     }
 
-    private void noteReadable(String job, String key) {
-        Set<String> keys = unreadable.isEmpty() ? null : unreadable.get(job);
-        if (keys != null && keys.remove(key) && keys.isEmpty()) {
-            unreadable.remove(job);
-        }
-    }
-
-    private static String jobOf(String key) {
-        if (key.startsWith(Keys.JOBS)) {
-            return key.substring(Keys.JOBS.length());
-        }
-        String name = key.substring(Keys.SLICES.length());
-        int slash = name.lastIndexOf('/');
-        return slash < 0 ? name : name.substring(0, slash);
-    }
-
     /** True if something of the job is stored that cannot be read, so that nothing about it may be decided. */
     public boolean isHeld(String job) {
-        return !unreadable.isEmpty() && unreadable.containsKey(job);
+        return unreadable.holds(job);
     }
 
     /** Jobs of which something cannot be read. */
     Set<String> held() {
-        return unreadable.keySet();
+        return unreadable.jobs();
     }
 
     private void machineRecord(Input.Change change) {
-        MachineEntry known = machineKeys.get(change.key());
-        if (known != null && known.version > change.version()) {
-            return;
-        }
-        if (known != null) {
-            machineKeys.remove(change.key());
-            known.names().forEach(name -> machines.remove(name, known));
-        }
-        if (change.value() != null) {
-            MachineEntry entry = new MachineEntry(change.key(), (MachineRecord) change.value(), change.version());
-            machineKeys.put(entry.key, entry);
-            for (String name : entry.names()) {
-                machines.put(name, entry);
-                follower.accept(new Delta.MachineChanged(name, entry.record));
-            }
+        MachineRecordIndex.Entry entry = machines.apply(change);
+        if (entry != null) {
+            entry.names().forEach(name -> follower.accept(new Delta.MachineChanged(name, entry.record())));
         }
     }
 
@@ -205,7 +143,7 @@
     }
 
     private void job(String id, Input.Change change) {
-        noteReadable(id, change.key());
+        unreadable.readable(id, change.key());
         JobEntry entry = jobs.get(id);
         if (change.value() == null) {
             if (entry != null && entry.version() < change.version()) {
@@ -261,7 +199,7 @@
             follower.accept(new Delta.Unread(change.key(), "no slice number"));
             return;
         }
-        noteReadable(id, change.key());
+        unreadable.readable(id, change.key());
         JobEntry entry = jobs.get(id);
         if (change.value() == null) {
             if (entry != null) {
@@ -383,13 +321,13 @@
     }
 
     /** Records of machines by their keys. */
-    public Collection<MachineEntry> machineRecords() {
-        return machineKeys.values();
+    public Collection<MachineRecordIndex.Entry> machineRecords() {
+        return machines.byKey();
     }
 
     /** Records of machines by the machines' names. */
-    public Map<String, MachineEntry> machines() {
-        return machines;
+    public Map<String, MachineRecordIndex.Entry> machines() {
+        return machines.byName();
     }
 
     /** The controllers whose leases live, by name. */
--- /dev/null
+++ b/src/main/java/dewlane/core/ShapeRivalry.java
@@ -0,0 +1,71 @@
+package dewlane.core;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Tells which machine types had better be left to jobs that have fewer to choose from. */
+final class ShapeRivalry {
+    private record Rivalry(Job.Shape shape, String type) {}
+
+    private final Map<String, MachineType> types;
+    /** Shapes of the jobs that are not over, and how many have each. */
+    private final Object2IntOpenHashMap<Job.Shape> shapes = new Object2IntOpenHashMap<>();
+    /** As of the present shapes and types: the question is asked for every job and type. */
+    private final Map<Rivalry, Integer> rivals = new HashMap<>();
+
+    /** Over the machine types by name, which may change. */
+    ShapeRivalry(Map<String, MachineType> types) {
+        this.types = types;
+    }
+
+    /** The machine types are others. */
+    void typesChanged() {
+        rivals.clear();
+    }
+
+    /** There is one more job of the shape. */
+    void came(Job.Shape shape) {
+        if (shapes.addTo(shape, 1) == 0) {
+            rivals.clear();
+        }
+    }
+
+    /** There is one job of the shape less. */
+    void went(Job.Shape shape) {
+        if (shapes.addTo(shape, -1) == 1) {
+            shapes.removeInt(shape);
+            rivals.clear();
+        }
+    }
+
+    /** How many types the tasks of a shape fit on and may use. */
+    int choices(Job.Shape shape) {
+        int n = 0;
+        for (MachineType t : types.values()) {
+            n += shape.allowsType(t.name()) && t.holds(shape) ? 1 : 0;
+        }
+        return n;
+    }
+
+    /**
+     * 1 if an active job with fewer types to choose from could use the type, so that a job of the shape had better go
+     * elsewhere; 0 if not.
+     */
+    int rivals(Job.Shape shape, MachineType type) {
+        return rivals.computeIfAbsent(new Rivalry(shape, type.name()), r -> countRivals(shape, type));
+    }
+
+    private int countRivals(Job.Shape shape, MachineType type) {
+        int choices = choices(shape);
+        for (Job.Shape other : shapes.keySet()) {
+            if ((other.cpus() != shape.cpus() || other.memoryGb() != shape.memoryGb())
+                    && type.holds(other)
+                    && other.allowsType(type.name())
+                    && choices(other) < choices) {
+                return 1;
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -28,6 +28,7 @@
     private final Context context;
     private final Replica replica;
     private final Machines machines;
+    private final PeerTable peers;
     private final Membership membership;
     private final Placement placement;
     private final StandingMonitor standing;
@@ -40,6 +41,7 @@
             Context context,
             Replica replica,
             Machines machines,
+            PeerTable peers,
             Membership membership,
             Placement placement,
             Cancellations cancellations,
@@ -48,6 +50,7 @@
         this.context = context;
         this.replica = replica;
         this.machines = machines;
+        this.peers = peers;
         this.membership = membership;
         this.placement = placement;
         this.standing = standing;
@@ -112,7 +115,7 @@
         }
         // Workers of one that died wander until the map says who has them, and those of one that has just come have yet
         // to get there. Each take-over is a new map, which undoes every launch under way.
-        if (!machines.heard(m.owner, OWNER_HEARD_MS) || context.now() - m.ownerSince < SETTLE_MS) {
+        if (!peers.heard(m.owner, OWNER_HEARD_MS) || context.now() - m.ownerSince < SETTLE_MS) {
             m.strayedAt = 0;
             return false;
         }
@@ -169,7 +172,7 @@
             if (t != null && t.phase() != Phase.EXITED && type != null && l.job.job() != null) {
                 m.fetched(l.job.job().image(), l.job.job().imageGb(), type.cacheGb());
             }
-            if (outcome != null && placement.record(machines.work(l.job.id), l, outcome)) {
+            if (outcome != null && placement.record(machines.progress().of(l.job.id), l, outcome)) {
                 machines.over(m, l);
                 judge(m, l, outcome);
             }
@@ -246,14 +249,14 @@
             m.failedJobs.clear();
         } else if (outcome == Outcome.ERROR) {
             m.failedJobs.add(l.job.id);
-            JobProgress work = machines.work(l.job.id);
+            JobProgress work = machines.progress().of(l.job.id);
             work.errors++;
             work.failedOn.add(m.name);
             work.notBefore = context.now() + Math.min(30_000, 250L << Math.min(work.errors, 7));
             context.info("task " + l.job.id + "/" + l.attempt.task() + " failed on " + m.name + " (" + work.errors
                     + " failures of the job, " + m.failedJobs.size() + " jobs on the machine)");
         } else if (outcome == Outcome.REFUSED) {
-            machines.work(l.job.id).notBefore = context.now() + 1000;
+            machines.progress().of(l.job.id).notBefore = context.now() + 1000;
         }
     }
 
