--- /dev/null
+++ b/src/test/java/dewlane/LayeringTest.java
@@ -0,0 +1,85 @@
+package dewlane;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.GeneralCodingRules.ACCESS_STANDARD_STREAMS;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.concurrent.Executor;
+
+/** Who may use whom. */
+@AnalyzeClasses(packages = "dewlane", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayeringTest {
+    @ArchTest
+    static final ArchRule ARROWS_RUN_DOWN = layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .layer("cli")
+            .definedBy("dewlane.cli..")
+            .layer("io")
+            .definedBy("dewlane.io..")
+            .layer("wire")
+            .definedBy("dewlane.wire..")
+            .layer("core")
+            .definedBy("dewlane.core..")
+            .whereLayer("cli")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("io")
+            .mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("wire")
+            .mayOnlyBeAccessedByLayers("cli", "io")
+            .whereLayer("core")
+            .mayOnlyBeAccessedByLayers("cli", "io", "wire");
+
+    @ArchTest
+    static final ArchRule NO_CYCLE_OF_PACKAGES =
+            slices().matching("dewlane.(*)..").should().beFreeOfCycles();
+
+    /** Collections, and nothing that reads a clock, a file or a socket, starts a thread or waits. */
+    @ArchTest
+    static final ArchRule CORE_IS_PURE = classes()
+            .that()
+            .resideInAPackage("dewlane.core..")
+            .should()
+            .onlyDependOnClassesThat(resideInAnyPackage(
+                            "dewlane.core..",
+                            "java.lang",
+                            "java.lang.invoke",
+                            "java.lang.runtime",
+                            "java.util",
+                            "java.util.function",
+                            "java.util.stream",
+                            "it.unimi.dsi.fastutil..",
+                            "com.github.benmanes.caffeine.cache")
+                    .or(type(Executor.class)));
+
+    @ArchTest
+    static final ArchRule CORE_READS_NO_CLOCK_AND_STARTS_NO_THREAD = noClasses()
+            .that()
+            .resideInAPackage("dewlane.core..")
+            .should()
+            .callMethod(System.class, "currentTimeMillis")
+            .orShould()
+            .callMethod(System.class, "nanoTime")
+            .orShould()
+            .accessClassesThat()
+            .areAssignableTo(Thread.class);
+
+    @ArchTest
+    static final ArchRule LIBRARIES_OF_THE_PROTOCOLS_ARE_FOR_WIRE = noClasses()
+            .that()
+            .resideInAnyPackage("dewlane.core..", "dewlane.io..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("com.fasterxml.jackson..", "org.msgpack..");
+
+    @ArchTest
+    static final ArchRule ONLY_THE_COMMAND_LINE_PRINTS =
+            noClasses().that().resideOutsideOfPackage("dewlane.cli..").should(ACCESS_STANDARD_STREAMS);
+}
--- a/src/test/java/dewlane/core/ControllerTest.java
+++ b/src/test/java/dewlane/core/ControllerTest.java
@@ -140,27 +140,6 @@
         assertEquals(1, take(Effect.RefuseReport.class).size());
     }
 
-    /** Seen in a recorded incident: users stayed with a controller that the state service refused. */
-    @Test
-    void aControllerThatAloneCannotReachTheStateServiceIsNotHealthy() {
-        assertTrue(controller.healthy());
-        hear(6000, new Input.Tick());
-        assertTrue(controller.healthy(), "in an outage for all, no other would serve better");
-        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, true, List.of(), List.of())));
-        assertFalse(controller.healthy());
-    }
-
-    @Test
-    void aControllerWithoutWordFromTheStateServiceLetsItsWorkersLeasesRunOut() {
-        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
-        assertEquals(1, take(Effect.AnswerReport.class).size());
-        hear(28_000, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
-        hear(0, new Input.ReportReceived(2, report(1, 2, 0)));
-        assertEquals(1, take(Effect.AnswerReport.class).size(), "what it renews still ends in time");
-        hear(1000, new Input.ReportReceived(3, report(1, 3, 0)));
-        assertEquals(1, take(Effect.RefuseReport.class).size(), "a cancellation may have been missed");
-    }
-
     @Test
     void aRetriedSubmissionIsKnownWhateverItsBodySays() {
         change(Keys.job("wk-1"), new JobRecord(job(1, 1), List.of(), 0));
@@ -231,31 +210,6 @@
         return take(Effect.AnswerUser.class).stream().map(Effect.AnswerUser::id).toList();
     }
 
-    @Test
-    void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
-        for (double cancelS : new double[] {31, 44}) {
-            Controller tight = new Controller(
-                    new Settings(
-                            "n0",
-                            List.of(),
-                            Map.of(),
-                            List.of(),
-                            List.of("east"),
-                            3,
-                            30,
-                            cancelS,
-                            StateLimits.constant(100, 100, 16_384, 16),
-                            5,
-                            5,
-                            Settings.Tuning.defaults()),
-                    1,
-                    value -> 0);
-            boolean warned = tight.handle(0, 0, new Input.Tick()).stream()
-                    .anyMatch(e -> e instanceof Effect.Log l && l.text().contains("too short beside lease_s"));
-            assertEquals(cancelS == 31, warned);
-        }
-    }
-
     /** What a job awaits may have been cancelled long ago: until that is known its user is told to come back. */
     @Test
     void aJobIsNotCalledPendingBeforeItIsKnownWhatBecameOfWhatItAwaits() {
@@ -331,18 +285,6 @@
         assertTrue(take(Effect.AnswerReport.class).get(0).token() > token);
     }
 
-    /** A trouble the users named: without state service and peers its lease is over, and others have its machines. */
-    @Test
-    void aControllerThatOnlyItsWorkersReachSendsThemAwayButNotInAnOutageForAll() {
-        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
-        assertEquals(1, take(Effect.AnswerReport.class).size());
-        hear(6000, new Input.ReportReceived(2, report(1, 2, 0)));
-        assertEquals(1, take(Effect.RefuseReport.class).size());
-        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
-        hear(10, new Input.ReportReceived(3, report(1, 3, 0)));
-        assertEquals(1, take(Effect.AnswerReport.class).size(), "its peers do not reach the state service either");
-    }
-
     /**
      * Found in a day's writes: once the first outcomes of a job were written, each further one was a change of its own.
      */
--- a/src/test/java/dewlane/core/StandingTest.java
+++ b/src/test/java/dewlane/core/StandingTest.java
@@ -6,6 +6,7 @@
 
 import dewlane.core.Standing.Limit;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What a controller may do while it lacks its place in the map, the state service, its peers or a young view. */
@@ -71,4 +72,62 @@
         hear(10, new Input.ReportReceived(2, report(1, 2, TOKEN)));
         assertEquals(1, take(Effect.RefuseReport.class).size());
     }
+
+    /** Seen in a recorded incident: users stayed with a controller that the state service refused. */
+    @Test
+    void aControllerThatAloneCannotReachTheStateServiceIsNotHealthy() {
+        assertTrue(controller.healthy());
+        hear(6000, new Input.Tick());
+        assertTrue(controller.healthy(), "in an outage for all, no other would serve better");
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, true, List.of(), List.of())));
+        assertFalse(controller.healthy());
+    }
+
+    @Test
+    void aControllerWithoutWordFromTheStateServiceLetsItsWorkersLeasesRunOut() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size());
+        hear(28_000, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+        hear(0, new Input.ReportReceived(2, report(1, 2, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size(), "what it renews still ends in time");
+        hear(1000, new Input.ReportReceived(3, report(1, 3, 0)));
+        assertEquals(1, take(Effect.RefuseReport.class).size(), "a cancellation may have been missed");
+    }
+
+    /** A trouble the users named: without state service and peers its lease is over, and others have its machines. */
+    @Test
+    void aControllerThatOnlyItsWorkersReachSendsThemAwayButNotInAnOutageForAll() {
+        hear(60, new Input.ReportReceived(1, report(1, 1, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size());
+        hear(6000, new Input.ReportReceived(2, report(1, 2, 0)));
+        assertEquals(1, take(Effect.RefuseReport.class).size());
+        hear(10, new Input.PeerHeard(new PeerStatus("n1", 1, false, List.of(), List.of())));
+        hear(10, new Input.ReportReceived(3, report(1, 3, 0)));
+        assertEquals(1, take(Effect.AnswerReport.class).size(), "its peers do not reach the state service either");
+    }
+
+    @Test
+    void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
+        for (double cancelS : new double[] {31, 44}) {
+            Controller tight = new Controller(
+                    new Settings(
+                            "n0",
+                            List.of(),
+                            Map.of(),
+                            List.of(),
+                            List.of("east"),
+                            3,
+                            30,
+                            cancelS,
+                            StateLimits.constant(100, 100, 16_384, 16),
+                            5,
+                            5,
+                            Settings.Tuning.defaults()),
+                    1,
+                    value -> 0);
+            boolean warned = tight.handle(0, 0, new Input.Tick()).stream()
+                    .anyMatch(e -> e instanceof Effect.Log l && l.text().contains("too short beside lease_s"));
+            assertEquals(cancelS == 31, warned);
+        }
+    }
 }
--- a/src/test/java/dewlane/sim/Checker.java
+++ b/src/test/java/dewlane/sim/Checker.java
@@ -69,7 +69,7 @@
         return done.getOrDefault(job, Set.of()).size() == world.users.job(job).tasks();
     }
 
-    void started(SimWorker on, SimWorker.Task task) {
+    void started(SimWorker on, SimTask task) {
         starts++;
         if (finals.get(task.job) == Condition.ABORTED) {
             startsInFlight++;
@@ -89,9 +89,15 @@
                 broken("too_early", name + " started before " + awaited + " was done");
             }
         }
+        checkPlace(on, task, job, name);
+        checkLimit(job, name);
+    }
+
+    /** No task is on two machines, and all are where their job allows them beside each other. */
+    private void checkPlace(SimWorker on, SimTask task, Job job, String name) {
         int sameZone = 0;
         for (SimWorker m : world.cloud.machines.values()) {
-            for (SimWorker.Task t : m.tasks.values()) {
+            for (SimTask t : m.tasks.values()) {
                 if (!t.on() || t == task || !t.job.equals(task.job)) {
                     continue;
                 }
@@ -109,10 +115,13 @@
         if (!job.allows(on.type.name(), on.zone, on.spot) || (job.spread() && sameZone + 1 > (job.tasks() + 1) / 2)) {
             broken("wrong_place", name + " on " + on.name);
         }
+    }
+
+    private void checkLimit(Job job, String name) {
         Settings.Team team = world.settings.teams().get(job.team());
         double used = 0;
         for (SimWorker m : world.cloud.machines.values()) {
-            for (SimWorker.Task t : m.tasks.values()) {
+            for (SimTask t : m.tasks.values()) {
                 Job other = world.users.job(t.job);
                 used += t.on() && other.team().equals(team.name()) ? other.cpus() : 0;
             }
@@ -229,7 +238,7 @@
     private boolean underLimit(Job job) {
         double used = job.cpus();
         for (SimWorker m : world.cloud.machines.values()) {
-            for (SimWorker.Task t : m.tasks.values()) {
+            for (SimTask t : m.tasks.values()) {
                 Job other = world.users.job(t.job);
                 used += t.phase != dewlane.core.Report.Phase.EXITED
                                 && other.team().equals(job.team())
@@ -251,7 +260,7 @@
             return;
         }
         for (SimWorker m : world.cloud.machines.values()) {
-            for (SimWorker.Task t : m.tasks.values()) {
+            for (SimTask t : m.tasks.values()) {
                 if (t.on()
                         && finals.get(t.job) == Condition.ABORTED
                         && world.now() - finalsAt.get(t.job) > world.settings.cancelS() * 1000) {
--- a/src/test/java/dewlane/sim/SimNode.java
+++ b/src/test/java/dewlane/sim/SimNode.java
@@ -14,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -22,7 +23,7 @@
 /** A controller process: the real core, with everything round it made up. */
 final class SimNode {
     /** A worker's answer: the status, and for 200 the token and orders, for 421 the node to report to. */
-    record ReportAnswer(int status, long token, java.util.List<Order> orders, String node) {}
+    record ReportAnswer(int status, long token, List<Order> orders, String node) {}
 
     final World world;
     final String name;
@@ -269,15 +270,19 @@
         } else if (effect instanceof Effect.Delete e) {
             world.cloud.delete(this, e.machines());
         } else if (effect instanceof Effect.TellPeers e) {
-            e.pages().forEach(this::measure);
-            for (SimNode peer : world.nodes.values()) {
-                int of = peer.life;
-                if (peer != this && !cutFromPeers && !peer.cutFromPeers) {
-                    e.pages().forEach(page -> world.deliver(() -> peer.hear(of, new Input.PeerHeard(page))));
-                }
-            }
+            tellPeers(e.pages());
         } else if (effect instanceof Effect.Log e) {
             world.trace(name + " " + e.text());
         }
     }
+
+    private void tellPeers(List<PeerStatus> pages) {
+        pages.forEach(this::measure);
+        for (SimNode peer : world.nodes.values()) {
+            int of = peer.life;
+            if (peer != this && !cutFromPeers && !peer.cutFromPeers) {
+                pages.forEach(page -> world.deliver(() -> peer.hear(of, new Input.PeerHeard(page))));
+            }
+        }
+    }
 }
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -14,34 +14,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** A machine and its worker, as the protocol tells it: sessions, leases, tokens and tasks. */
 final class SimWorker {
-    /** An attempt on the machine. */
-    static final class Task {
-        final String job;
-        final int number;
-        final int attempt;
-        /** When the command or answer that launched it was sent. */
-        final long orderedAt;
-
-        Phase phase = Phase.FETCHING;
-        End end;
-        long until;
-
-        Task(String job, int number, int attempt, long orderedAt) {
-            this.orderedAt = orderedAt;
-            this.job = job;
-            this.number = number;
-            this.attempt = attempt;
-        }
-
-        /** True while the task counts as being on its machine. */
-        boolean on() {
-            return phase == Phase.RUNNING || phase == Phase.SAVING;
-        }
-    }
-
     final World world;
     final String name;
     final MachineType type;
@@ -66,7 +42,7 @@
 
     long hangsUntil;
     private final long rentedAt;
-    final Map<String, Task> tasks = new LinkedHashMap<>();
+    final Map<String, SimTask> tasks = new LinkedHashMap<>();
     /** Attempts that it was told to forget in this session; a late copy of such a launch would start them anew. */
     private final Set<String> forgotten = new HashSet<>();
 
@@ -102,7 +78,7 @@
 
     /** Tasks that count as being on the machine. */
     long running() {
-        return tasks.values().stream().filter(Task::on).count();
+        return tasks.values().stream().filter(SimTask::on).count();
     }
 
     /** Tasks of the job that count as being on the machine. */
@@ -117,7 +93,7 @@
     /** True if it serves as it should and has room for a task of the job, by what is really on it. */
     boolean hasRoom(dewlane.core.Job job) {
         double cpus = job.cpus();
-        for (Task t : tasks.values()) {
+        for (SimTask t : tasks.values()) {
             cpus += t.phase == Phase.EXITED ? 0 : world.users.job(t.job).cpus();
         }
         return up
@@ -199,7 +175,7 @@
             held.clear();
             late.forEach(Runnable::run);
         }
-        for (Task t : List.copyOf(tasks.values())) {
+        for (SimTask t : List.copyOf(tasks.values())) {
             if (t.phase == Phase.FETCHING && world.now() >= t.until) {
                 begin(t);
             } else if (t.phase == Phase.RUNNING && world.now() >= t.until) {
@@ -213,7 +189,7 @@
         }
     }
 
-    private void begin(Task t) {
+    private void begin(SimTask t) {
         if (world.checker.doneTask(t.job, t.number)) {
             exit(t, End.DONE);
             return;
@@ -225,7 +201,7 @@
         changed();
     }
 
-    private void exit(Task t, End end) {
+    private void exit(SimTask t, End end) {
         t.phase = Phase.EXITED;
         t.end = end;
         world.trace("exit " + t.job + "/" + t.number + " #" + t.attempt + " on " + name + " " + end);
@@ -242,7 +218,7 @@
 
     Report report() {
         List<TaskState> states = new ArrayList<>();
-        for (Task t : tasks.values()) {
+        for (SimTask t : tasks.values()) {
             states.add(new TaskState(t.job, t.number, t.attempt, t.phase, t.end, false));
         }
         return new Report(name, name + ":1", type.name(), zone, spot, session, ++sequence, seal, Double.NaN, states);
@@ -267,6 +243,21 @@
                 elsewhere(nodes);
             }
         });
+        pass(sent, node, nodes, answer -> {
+            long answeredAt = world.now();
+            world.deliver(() -> {
+                if (over[0] || gone || cut || deaf || node.name.equals(deafTo) || node.cutFromWorkers || !awake()) {
+                    return;
+                }
+                over[0] = true;
+                inFlight = false;
+                answered(answer, answeredAt, sentAt, of, nodes);
+            });
+        });
+    }
+
+    /** A report goes its way to a controller, if it gets there, and sometimes a copy comes late. */
+    private void pass(Report sent, SimNode node, List<SimNode> nodes, Consumer<SimNode.ReportAnswer> answer) {
         if (withheld != null) {
             withheld.add(sent);
             return;
@@ -281,20 +272,9 @@
                     world.between(1000, 90_000));
         }
         world.deliver(() -> {
-            if (!node.alive) {
-                return;
+            if (node.alive) {
+                node.report(sent, answer);
             }
-            node.report(sent, answer -> {
-                long answeredAt = world.now();
-                world.deliver(() -> {
-                    if (over[0] || gone || cut || deaf || node.name.equals(deafTo) || node.cutFromWorkers || !awake()) {
-                        return;
-                    }
-                    over[0] = true;
-                    inFlight = false;
-                    answered(answer, answeredAt, sentAt, of, nodes);
-                });
-            });
         });
     }
 
@@ -362,7 +342,7 @@
 
     private void execute(Order o, long sentAt) {
         String key = o.job() + "/" + o.task() + "#" + o.attempt();
-        Task t = tasks.get(key);
+        SimTask t = tasks.get(key);
         switch (o.kind()) {
             case LAUNCH -> {
                 if (t == null) {
@@ -395,11 +375,11 @@
         if (forgotten.contains(key)) {
             world.checker.broken("launched_again", key + " on " + name + ", which was told to forget it");
         }
-        Task t = new Task(o.job(), o.task(), o.attempt(), sentAt);
+        SimTask t = new SimTask(o.job(), o.task(), o.attempt(), sentAt);
         boolean busy = tasks.values().stream()
                 .anyMatch(x -> x.phase != Phase.EXITED && x.job.equals(o.job()) && x.number == o.task());
         double used = 0;
-        for (Task x : tasks.values()) {
+        for (SimTask x : tasks.values()) {
             used += x.phase == Phase.EXITED ? 0 : world.users.job(x.job).cpus();
         }
         tasks.put(key, t);
