Whether a machine hears this controller is one class, and so are a worker's stray reports; behaviour stays

Change: Reachability, with a method for each thing that happens and the invariant of a suspicion; StrayReports.

Measured: tests green; ReachabilityTest.

--- a/src/main/java/dewlane/core/CloudInventory.java
+++ b/src/main/java/dewlane/core/CloudInventory.java
@@ -110,7 +110,7 @@
 
     private void noteUp() {
         for (Machine m : machines.all()) {
-            if (m.heardAt != 0 || !m.live.isEmpty() || machines.listedByOwner(m)) {
+            if (m.reachability.everConfirmed() || !m.live.isEmpty() || machines.listedByOwner(m)) {
                 up.add(m.name);
             }
         }
--- a/src/main/java/dewlane/core/FailureDetector.java
+++ b/src/main/java/dewlane/core/FailureDetector.java
@@ -96,7 +96,7 @@
     }
 
     private void countSilenceFromNow() {
-        machines.all().forEach(m -> m.since = context.now());
+        machines.all().forEach(m -> m.reachability.countSilenceFrom(context.now()));
     }
 
     /** Those suspected or just fallen silent count too: they do not all begin at the same moment. */
@@ -108,7 +108,7 @@
             if (!known(m)) {
                 continue;
             }
-            if (m.suspectedSince != 0 || silentFor(m) > patience) {
+            if (m.reachability.isSuspected() || silentFor(m) > patience) {
                 silent++;
             } else {
                 heard++;
@@ -145,7 +145,7 @@
         // Where most are silent, or just were, it is more likely that this controller cannot hear or is not heard.
         boolean trusts = context.now() - mostSilentAt > context.settings().heardMs();
         if (known(m) && (trusts || silentFor(m) > UNTRUSTED_PATIENCE * patience)) {
-            return m.sequence > 0 && m.suspectedSince != 0 ? "out of reach" : "silent";
+            return m.sequence > 0 && m.reachability.isSuspected() ? "out of reach" : "silent";
         }
         // A hanging machine keeps a cancelled task; only its deletion ends that in time.
         return hasCancelled(m, CONDEMN) ? "silent with a cancelled task" : null;
@@ -153,7 +153,7 @@
 
     /** Not one returned, nor one of which there is only a report: that may be a late copy from a machine long gone. */
     private static boolean known(Machine m) {
-        return m.heardAt != 0 && !m.returned || !m.live.isEmpty();
+        return m.reachability.everConfirmed() && !m.returned || !m.live.isEmpty();
     }
 
     /** True if a task on the machine has been cancelled for longer than the part of {@code cancel_s}. */
@@ -188,7 +188,7 @@
     }
 
     private long silentFor(Machine m) {
-        return context.now() - Math.max(m.heardAt, m.since);
+        return m.reachability.silentForMs(context.now());
     }
 
     /**
--- a/src/main/java/dewlane/core/JobDistributor.java
+++ b/src/main/java/dewlane/core/JobDistributor.java
@@ -149,9 +149,10 @@
             return false;
         }
         if (m.owner.equals(context.settings().node())) {
-            return m.heardWithin(context.now(), context.settings().heardMs())
+            return m.reachability.confirmedWithin(
+                            context.now(), context.settings().heardMs())
                     && m.takenAt == 0
-                    && m.suspectedSince == 0;
+                    && !m.reachability.isSuspected();
         }
         return machines.listedByOwner(m);
     }
--- a/src/main/java/dewlane/core/Machine.java
+++ b/src/main/java/dewlane/core/Machine.java
@@ -48,8 +48,6 @@
     String owner;
     /** Since when that is so. */
     long ownerSince;
-    /** When this controller first had to do with the machine under the present owner. */
-    long since;
 
     String address;
     String type;
@@ -62,25 +60,15 @@
     long sequence;
     /** The highest token that the worker has shown. */
     long tokenSeen;
-    /** When the machine last proved that it hears this controller, not only that it is heard; 0: never. */
-    long heardAt;
-    /** When a report of its own came last, not an answer to a command. */
-    long reportedAt;
-    /** Since when it is suspected that answers and commands do not reach the machine; 0: not. */
-    long suspectedSince;
-    /** A report with this token ends the suspicion: it was handed out after that began. */
-    long challenge;
+    /** Whether it hears this controller. */
+    final Reachability reachability;
     /** What was sent to the worker, and with which token. */
     final CommandChannel channel = new CommandChannel();
     /** The start of a peer that last said it hears the machine, and when. */
     String listedBy;
 
     long listedAt;
-    /** When the machine's worker first came here although another controller owns it, and with which report. */
-    long strayedAt;
-
-    long strayedSession;
-    long strayedSequence;
+    final StrayReports strayReports = new StrayReports();
     /** It was to be returned when it was last heard of: if it is silent, it is gone as it should be. */
     boolean returned;
     /** It is being returned, though no record shows that yet. */
@@ -90,10 +78,6 @@
 
     Map<Key, Report.TaskState> reported = Map.of();
 
-    /** The worker has not been told the present owner's token although tasks may be on the machine. */
-    boolean tokenLate;
-
-    long probedAt;
     final Object2LongOpenHashMap<Key> commanded = new Object2LongOpenHashMap<>();
     /** Attempts to be stopped although their job goes on, and the grace they get. */
     final Map<Key, Double> stops = new HashMap<>();
@@ -117,7 +101,7 @@
 
     Machine(String name, long now) {
         this.name = name;
-        this.since = now;
+        this.reachability = new Reachability(now);
         this.idleSince = now;
     }
 
@@ -127,12 +111,7 @@
      */
     void acquire(long epoch, long now) {
         channel.acquire(epoch);
-        since = now;
-        heardAt = 0;
-        suspectedSince = now;
-        challenge = token();
-        probedAt = 0;
-        tokenLate = true;
+        reachability.acquired(now, token());
         takenAt = 0;
         reported = Map.of();
         forgetCommands();
@@ -165,29 +144,21 @@
         return channel.token();
     }
 
-    /** The machine has shown that it hears this controller. */
-    void confirm(long now) {
-        heardAt = now;
-        suspectedSince = 0;
-    }
-
     /**
      * Being heard is not being reachable: from now on only an answer to a command, or a report with a token that was
      * handed out after this moment, shows that the machine hears this controller. A late copy has neither.
      */
     void suspect(long now) {
-        suspectedSince = now;
-        probedAt = 0;
         boolean launchUnderWay = false;
         for (Live l : live.values()) {
             launchUnderWay |=
                     l.attempt.token() == token() && l.attempt.session() == session && !reported.containsKey(l.key);
         }
         if (launchUnderWay) {
-            challenge = Long.MAX_VALUE;
+            reachability.suspected(now, Reachability.NO_TOKEN_ENDS_IT);
         } else {
             channel.raiseFence();
-            challenge = token();
+            reachability.suspected(now, token());
         }
     }
 
@@ -198,10 +169,6 @@
         }
     }
 
-    boolean heardWithin(long now, long ms) {
-        return heardAt != 0 && now - heardAt <= ms;
-    }
-
     boolean hasImage(String image) {
         return images.containsKey(image);
     }
--- a/src/main/java/dewlane/core/Machines.java
+++ b/src/main/java/dewlane/core/Machines.java
@@ -263,7 +263,7 @@
         if (!self.equals(m.owner)) {
             own.remove(m);
             changed.remove(m);
-            m.heardAt = 0;
+            m.reachability.handedOn();
         } else if (anew || !self.equals(before)) {
             m.acquire(map.epoch(), context.now());
             own.add(m);
@@ -277,7 +277,7 @@
             return null;
         }
         Machine m = of(name);
-        if (m.heardAt == 0 || m.type == null) {
+        if (!m.reachability.everConfirmed() || m.type == null) {
             m.isOf(type, zone, spot);
         }
         if (m.address == null) {
--- a/src/main/java/dewlane/core/Placement.java
+++ b/src/main/java/dewlane/core/Placement.java
@@ -58,8 +58,9 @@
                 && m.type != null
                 && machines.type(m) != null
                 && m.takenAt == 0
-                && m.suspectedSince == 0
-                && m.heardWithin(context.now(), context.settings().heardMs())
+                && !m.reachability.isSuspected()
+                && m.reachability.confirmedWithin(
+                        context.now(), context.settings().heardMs())
                 && reports(m)
                 && (m.failedJobs.isEmpty() || !machines.faulty(m))
                 && !replica.machines().containsKey(m.name);
@@ -70,7 +71,7 @@
      * has just got this owner has some time to find it.
      */
     private boolean reports(Machine m) {
-        return context.now() - Math.max(m.reportedAt, m.ownerSince)
+        return context.now() - Math.max(m.reachability.reportedAt(), m.ownerSince)
                 < context.settings().leaseS() * 500;
     }
 
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -20,6 +20,10 @@
     /** A worker that cannot reach its owner comes round again within this time. */
     private static final long STRAY_MS = 30_000;
 
+    /** It must have come here for longer than this, and for longer still if its owner says that it hears it. */
+    private static final long LEAST_STRAY_MS = 500;
+
+    private static final long LISTED_STRAY_MS = 3500;
     private static final long OWNER_HEARD_MS = 4000;
     private static final long SETTLE_MS = 10_000;
     /** How often a suspected machine is asked for a sign that it hears. */
@@ -94,7 +98,7 @@
         }
         take(m, r, id == 0);
         if (id != 0) {
-            m.reportedAt = context.now();
+            m.reachability.reported(context.now());
             m.channel.answerSettled();
             List<Order> orders = planner.orders(m, true);
             m.channel.answerSent(launches(orders));
@@ -116,18 +120,11 @@
         // Workers of one that died wander until the map says who has them, and those of one that has just come have yet
         // to get there. Each take-over is a new map, which undoes every launch under way.
         if (!peers.heard(m.owner, OWNER_HEARD_MS) || context.now() - m.ownerSince < SETTLE_MS) {
-            m.strayedAt = 0;
-            return false;
-        }
-        long strayed = context.now() - m.strayedAt;
-        boolean newer = r.newerThan(m.strayedSession, m.strayedSequence);
-        if (m.strayedAt == 0 || strayed > STRAY_MS) {
-            m.strayedAt = context.now();
-            m.strayedSession = r.session();
-            m.strayedSequence = r.sequence();
+            m.strayReports.forget();
             return false;
         }
-        return newer && strayed > (machines.listedByOwner(m) ? 3500 : 500);
+        long strayedMs = m.strayReports.take(r, context.now(), STRAY_MS);
+        return strayedMs > (machines.listedByOwner(m) ? LISTED_STRAY_MS : LEAST_STRAY_MS);
     }
 
     private static Set<Key> launches(List<Order> orders) {
@@ -193,14 +190,16 @@
             missed |= l != null && l.attempt.session() == r.session() && !m.reported.containsKey(k);
         }
         boolean sure = answer
-                || (m.suspectedSince != 0
-                        ? r.token() >= m.challenge
-                        : !missed && m.heardWithin(now, context.settings().heardMs()));
+                || (m.reachability.isSuspected()
+                        ? m.reachability.endsSuspicion(r.token())
+                        : !missed
+                                && m.reachability.confirmedWithin(
+                                        now, context.settings().heardMs()));
         if (sure) {
-            m.confirm(now);
+            m.reachability.confirmed(now);
             m.returned &= replica.machines().containsKey(m.name);
             notice(m, r);
-        } else if (m.suspectedSince == 0) {
+        } else if (!m.reachability.isSuspected()) {
             counters.suspicions++;
             context.debug("machine " + m.name + " is heard but may not hear: "
                     + (missed ? "missed an answer" : "was silent"));
@@ -276,14 +275,15 @@
             }
             List<Order> orders = planner.orders(m, false);
             boolean urgent = orders.stream().anyMatch(o -> o.kind() != Order.Kind.FORGET);
-            boolean probe = m.suspectedSince != 0
-                    && context.now() - m.probedAt > PROBE_MS
-                    && (m.tokenLate && !m.live.isEmpty() || m.sequence > 0);
+            boolean probe = m.reachability.probeDue(context.now(), PROBE_MS)
+                    && (!m.reachability.tokenTold() && !m.live.isEmpty() || m.sequence > 0);
             if (urgent || probe) {
                 counters.commands++;
                 counters.probes += probe ? 1 : 0;
-                m.probedAt = probe ? context.now() : m.probedAt;
-                m.tokenLate = false;
+                if (probe) {
+                    m.reachability.probed(context.now());
+                }
+                m.reachability.tokenSent();
                 for (Order o : orders) {
                     m.commanded.put(new Key(o.job(), o.task(), o.attempt()), context.now());
                 }
@@ -299,7 +299,7 @@
     /** Looks again at suspected machines, or ones with tasks that are still to show: an order may have been lost. */
     void tick() {
         for (Machine m : machines.own()) {
-            if (m.suspectedSince != 0
+            if (m.reachability.isSuspected()
                     || !m.stops.isEmpty()
                     || m.live.values().stream().anyMatch(l -> !l.over && !m.reported.containsKey(l.key))) {
                 machines.touch(m);
--- /dev/null
+++ b/src/test/java/dewlane/core/ReachabilityTest.java
@@ -0,0 +1,58 @@
+package dewlane.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When a machine counts as hearing this controller, and when its worker has strayed here. */
+class ReachabilityTest {
+    private final Reachability reachability = new Reachability(0);
+
+    @Test
+    void aMachineThatComesToThisControllerIsSuspectedUntilItShowsItsToken() {
+        reachability.acquired(1000, 7);
+        assertTrue(reachability.isSuspected());
+        assertFalse(reachability.endsSuspicion(6), "a token of an owner before");
+        assertTrue(reachability.endsSuspicion(7));
+        assertFalse(reachability.everConfirmed());
+        assertEquals(500, reachability.silentForMs(1500));
+        reachability.confirmed(2000);
+        assertFalse(reachability.isSuspected());
+        assertTrue(reachability.confirmedWithin(2300, 300));
+        assertFalse(reachability.confirmedWithin(2301, 300));
+    }
+
+    @Test
+    void whileALaunchIsUnderWayNoReportEndsTheSuspicion() {
+        reachability.acquired(0, 7);
+        reachability.confirmed(10);
+        reachability.suspected(5000, Reachability.NO_TOKEN_ENDS_IT);
+        assertFalse(reachability.endsSuspicion(Long.MAX_VALUE - 1));
+        assertTrue(reachability.probeDue(5000, 2000), "it is asked at once");
+        reachability.probed(5000);
+        assertFalse(reachability.probeDue(7000, 2000));
+        assertTrue(reachability.probeDue(7001, 2000));
+        assertEquals(4990, reachability.silentForMs(5000), "its silence counts from before the suspicion");
+        reachability.countSilenceFrom(5000);
+        assertEquals(0, reachability.silentForMs(5000));
+    }
+
+    @Test
+    void aWorkerStraysOnceItComesBackWithANewerReport() {
+        StrayReports strays = new StrayReports();
+        assertEquals(-1, strays.take(report(1, 5), 1000, 30_000));
+        assertEquals(-1, strays.take(report(1, 5), 2000, 30_000), "a copy");
+        assertEquals(1500, strays.take(report(1, 6), 2500, 30_000));
+        assertEquals(2000, strays.take(report(2, 1), 3000, 30_000), "a later session is newer, too");
+        assertEquals(-1, strays.take(report(2, 9), 31_001, 30_000), "too long ago to have to do with it");
+        strays.forget();
+        assertEquals(-1, strays.take(report(2, 10), 31_500, 30_000));
+    }
+
+    private static Report report(long session, long sequence) {
+        return new Report("m1", "h:1", "box", "east", true, session, sequence, 0, Double.NaN, List.of());
+    }
+}
