Whether a command had launches is asked of its channel; the standing once a set of orders; behaviour stays

CommandChannel knows the launches of the command under way, and yet the I/O and the stand-in looked for them in the orders and passed a flag on. The standing, six facts, was put together anew for each launch, and for the one fact "joined" in each pass.

Change: Input.CommandAnswered says whether the command was sent; commandGivenUp says whether it had launches. OrderPlanner asks for the standing once a call; WorkerSessions.command asks Membership.

--- a/src/main/java/dewlane/core/CommandChannel.java
+++ b/src/main/java/dewlane/core/CommandChannel.java
@@ -83,12 +83,18 @@
         commandLaunches.clear();
     }
 
-    /** No answer to the direct command came in time; it may be carried out at any later time. */
-    void commandGivenUp() {
+    /**
+     * No answer to the direct command came in time; it may be carried out at any later time.
+     *
+     * @return true if it had launches
+     */
+    boolean commandGivenUp() {
+        boolean launches = !commandLaunches.isEmpty();
         if (commandToken == token()) {
             abandonedLaunches.addAll(commandLaunches);
         }
         commandSettled();
+        return launches;
     }
 
     /** A report is answered. */
--- a/src/main/java/dewlane/core/Counters.java
+++ b/src/main/java/dewlane/core/Counters.java
@@ -14,7 +14,7 @@
     long commands;
     long probes;
     long suspicions;
-    long commandsGivenUp;
+    long launchesGivenUp;
     long fencesRaised;
     long forgetsHeld;
     long handed;
@@ -50,7 +50,7 @@
                 + passes
                 + " over " + jobsLookedAt + " jobs and " + machinesLookedAt + " machines, commands " + commands
                 + ", probes "
-                + probes + ", launches given up on " + commandsGivenUp + ", fences raised " + fencesRaised
+                + probes + ", launches given up on " + launchesGivenUp + ", fences raised " + fencesRaised
                 + ", forgets held back " + forgetsHeld + ", suspicions " + suspicions + ", handed on " + handed
                 + ", writes " + writes + " of "
                 + changesWritten
--- a/src/main/java/dewlane/core/Input.java
+++ b/src/main/java/dewlane/core/Input.java
@@ -44,8 +44,8 @@
     /** A worker reported and waits for the answer. */
     record ReportReceived(long id, Report report) implements Input {}
 
-    /** A direct command was answered, or not ({@code report} null). */
-    record CommandAnswered(String machine, long token, boolean launched, Report report) implements Input {}
+    /** A direct command was answered, or not ({@code report} null); if it was not {@code sent}, it never arrives. */
+    record CommandAnswered(String machine, long token, boolean sent, Report report) implements Input {}
 
     /**
      * A submission.
--- a/src/main/java/dewlane/core/OrderLog.java
+++ b/src/main/java/dewlane/core/OrderLog.java
@@ -46,7 +46,7 @@
         }
         String what = in.report() != null
                 ? "answered by report " + in.report().sequence()
-                : in.launched() ? "given up on, with launches" : "given up on or not sent, without launches";
+                : in.sent() ? "given up on" : "not sent";
         context.debug("command to " + m.name + " with token " + in.token() + " " + what + " after "
                 + m.channel.commandAgeMs(context.now()) + " ms");
     }
--- a/src/main/java/dewlane/core/OrderPlanner.java
+++ b/src/main/java/dewlane/core/OrderPlanner.java
@@ -51,9 +51,10 @@
         });
         raiseFenceIfNeeded(m, forget);
         forget.removeIf(key -> heldBack(m, key));
+        boolean mayLaunch = standing.now().maySendLaunches();
         List<Order> orders = new ArrayList<>();
         for (Live l : m.live.values()) {
-            Order order = orderFor(m, l);
+            Order order = orderFor(m, l, mayLaunch);
             if (order != null && (inAnswer || due(m, l.key))) {
                 orders.add(order);
             }
@@ -108,18 +109,18 @@
         return !m.commanded.containsKey(key) || context.now() - m.commanded.getLong(key) > RESEND_MS;
     }
 
-    private Order orderFor(Machine m, Live l) {
+    private Order orderFor(Machine m, Live l, boolean mayLaunch) {
         TaskState t = m.reported.get(l.key);
         Attempt a = l.attempt;
         if (t == null) {
             // Only the token written with the launch may ever command it, or the proof of gone would not hold. And a
             // launch written long ago must not be sent on a view that may lack its job's cancellation.
-            boolean mayLaunch = standing.now().maySendLaunches()
+            boolean launches = mayLaunch
                     && !cancellations.ended(l.job)
                     && a.session() == m.session
                     && a.token() == m.token()
                     && !machines.progress().of(l.job.id).outcomes.containsKey(l.key);
-            return mayLaunch ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
+            return launches ? new Order(Order.Kind.LAUNCH, l.job.id, a.task(), a.number(), 0) : null;
         }
         if (t.phase() == Phase.EXITED) {
             return null;
--- a/src/main/java/dewlane/core/WorkerSessions.java
+++ b/src/main/java/dewlane/core/WorkerSessions.java
@@ -261,7 +261,7 @@
 
     /** Sends what is new straight to the workers; the answers to their reports repeat it. */
     void command() {
-        if (!standing.now().joined() || machines.changed().isEmpty()) {
+        if (!membership.joined() || machines.changed().isEmpty()) {
             return;
         }
         List<Machine> later = new ArrayList<>();
@@ -316,9 +316,8 @@
         if (in.report() != null) {
             m.channel.commandSettled();
             report(0, in.report());
-        } else if (in.launched()) {
-            counters.commandsGivenUp++;
-            m.channel.commandGivenUp();
+        } else if (in.sent()) {
+            counters.launchesGivenUp += m.channel.commandGivenUp() ? 1 : 0;
         } else {
             m.channel.commandSettled();
         }
--- a/src/main/java/dewlane/io/WorkerCommands.java
+++ b/src/main/java/dewlane/io/WorkerCommands.java
@@ -2,7 +2,6 @@
 
 import dewlane.core.Effect;
 import dewlane.core.Input;
-import dewlane.core.Order;
 import dewlane.core.Report;
 import dewlane.wire.WorkerWire;
 import java.io.IOException;
@@ -23,14 +22,13 @@
     }
 
     void send(Effect.Command command) {
-        boolean launches = command.orders().stream().anyMatch(o -> o.kind() == Order.Kind.LAUNCH);
         byte[] body = WorkerWire.command(command.session(), command.token(), command.orders());
         boolean sent = workers.send(
                 command.address(),
                 WorkerWire.COMMAND,
                 body,
                 (status, answer) -> core.accept(new Input.CommandAnswered(
-                        command.machine(), command.token(), launches, report(command.machine(), status, answer))));
+                        command.machine(), command.token(), true, report(command.machine(), status, answer))));
         if (!sent) {
             // Nothing went out, so nothing can arrive late: the answers to the machine's reports say the same.
             core.accept(new Input.CommandAnswered(command.machine(), command.token(), false, null));
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -125,8 +125,7 @@
 
     void command(SimNode node, Effect.Command e) {
         SimWorker m = machines.get(e.machine());
-        boolean launches = e.orders().stream().anyMatch(o -> o.kind() == Order.Kind.LAUNCH);
-        Input silence = new Input.CommandAnswered(e.machine(), e.token(), launches, null);
+        Input silence = new Input.CommandAnswered(e.machine(), e.token(), true, null);
         if (m == null) {
             world.after(2500, () -> node.hear(node.life, silence));
             return;
@@ -158,7 +157,7 @@
                 () -> world.deliver(() -> {
                     if (!heard[0] && !node.cutFromWorkers) {
                         heard[0] = true;
-                        node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), launches, m.report()));
+                        node.hear(of, new Input.CommandAnswered(e.machine(), e.token(), true, m.report()));
                     }
                 }),
                 () -> m.command(e, sentAt)));
