--- a/src/test/java/dewlane/core/ControllerFixture.java
+++ b/src/test/java/dewlane/core/ControllerFixture.java
@@ -15,19 +15,11 @@
     static final MachineType BOX = new MachineType("box", 4, 0, 16, 20, 1, 0.2, 0.1, 30, List.of("east"));
 
     final Controller controller = new Controller(
-            new Settings(
-                    "n0",
+            TestSettings.of(
                     List.of("n1"),
                     Map.of("blue", new Settings.Team("blue", 0, 0, 4, 0), "red", new Settings.Team("red", 0, 0, 0, 0)),
-                    List.of(),
-                    List.of("east"),
-                    3,
-                    30,
-                    60,
-                    StateLimits.constant(100, 100, 16_384, 16),
-                    5,
-                    5,
-                    Settings.Tuning.defaults()),
+                    TestSettings.CANCEL_S,
+                    TestSettings.LIMITS),
             1,
             value -> 0);
     final List<Effect> effects = new ArrayList<>();
--- a/src/test/java/dewlane/core/DependenciesTest.java
+++ b/src/test/java/dewlane/core/DependenciesTest.java
@@ -7,27 +7,12 @@
 import dewlane.core.Value.FinalRecord;
 import dewlane.core.Value.JobRecord;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What jobs that await each other are treated as, change by change. */
 class DependenciesTest {
-    private final Context context = new Context(
-            new Settings(
-                    "n0",
-                    List.of(),
-                    Map.of(),
-                    List.of(),
-                    List.of("east"),
-                    3,
-                    30,
-                    60,
-                    StateLimits.constant(100, 100, 16_384, 16),
-                    5,
-                    5,
-                    Settings.Tuning.defaults()),
-            1);
+    private final Context context = new Context(TestSettings.alone(), 1);
     private final Release release = new Release();
     private Dependencies dependencies;
     private final Replica replica = new Replica(delta -> dependencies.follow(delta));
--- a/src/test/java/dewlane/core/QuotaTest.java
+++ b/src/test/java/dewlane/core/QuotaTest.java
@@ -11,19 +11,11 @@
 
 /** Teams' limits and guarantees, counted task by task. */
 class QuotaTest {
-    private final Settings settings = new Settings(
-            "n0",
+    private final Settings settings = TestSettings.of(
             List.of(),
             Map.of("blue", new Settings.Team("blue", 20, 0, 0, 0)),
-            List.of(),
-            List.of("east"),
-            3,
-            30,
-            60,
-            StateLimits.constant(100, 100, 16_384, 16),
-            5,
-            5,
-            Settings.Tuning.defaults());
+            TestSettings.CANCEL_S,
+            TestSettings.LIMITS);
     private final Replica replica = new Replica(delta -> {});
     private final List<JobEntry> ready = new ArrayList<>();
 
--- a/src/test/java/dewlane/core/StandingTest.java
+++ b/src/test/java/dewlane/core/StandingTest.java
@@ -109,22 +109,8 @@
     @Test
     void settingsThatLeaveNoTimeForACancellationAreWarnedOf() {
         for (double cancelS : new double[] {31, 44}) {
-            Controller tight = new Controller(
-                    new Settings(
-                            "n0",
-                            List.of(),
-                            Map.of(),
-                            List.of(),
-                            List.of("east"),
-                            3,
-                            30,
-                            cancelS,
-                            StateLimits.constant(100, 100, 16_384, 16),
-                            5,
-                            5,
-                            Settings.Tuning.defaults()),
-                    1,
-                    value -> 0);
+            Controller tight =
+                    new Controller(TestSettings.of(List.of(), Map.of(), cancelS, TestSettings.LIMITS), 1, value -> 0);
             boolean warned = tight.handle(0, 0, new Input.Tick()).stream()
                     .anyMatch(e -> e instanceof Effect.Log l && l.text().contains("too short beside lease_s"));
             assertEquals(cancelS == 31, warned);
--- /dev/null
+++ b/src/test/java/dewlane/core/TestSettings.java
@@ -0,0 +1,34 @@
+package dewlane.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** Settings for tests of single parts of a controller. */
+final class TestSettings {
+    static final StateLimits LIMITS = StateLimits.constant(100, 100, 16_384, 16);
+    static final double CANCEL_S = 60;
+
+    private TestSettings() {}
+
+    /** A controller without peers or teams. */
+    static Settings alone() {
+        return of(List.of(), Map.of(), CANCEL_S, LIMITS);
+    }
+
+    /** Controller n0 in one zone, with workers' leases of 30 s. */
+    static Settings of(List<String> peers, Map<String, Settings.Team> teams, double cancelS, StateLimits limits) {
+        return new Settings(
+                "n0",
+                peers,
+                teams,
+                List.of(),
+                List.of("east"),
+                3,
+                30,
+                cancelS,
+                limits,
+                5,
+                5,
+                Settings.Tuning.defaults());
+    }
+}
--- a/src/test/java/dewlane/core/WriteBudgetTest.java
+++ b/src/test/java/dewlane/core/WriteBudgetTest.java
@@ -12,21 +12,7 @@
     private static final StateLimits LIMITS =
             new StateLimits(new StateLimits.Limits(150, 30, 32_768, 16), new StateLimits.Limits(150, 21, 2048, 5));
 
-    private final Context context = new Context(
-            new Settings(
-                    "n0",
-                    List.of(),
-                    Map.of(),
-                    List.of(),
-                    List.of("east"),
-                    3,
-                    30,
-                    60,
-                    LIMITS,
-                    5,
-                    5,
-                    Settings.Tuning.defaults()),
-            1);
+    private final Context context = new Context(TestSettings.of(List.of(), Map.of(), TestSettings.CANCEL_S, LIMITS), 1);
     private final WriteBudget budget = new WriteBudget(context);
     private long now;
 
