Urgency of dependencies is passed on without recursion, each job at most once

Cause: UrgencyInheritance called itself once for each job of the pipeline, on the I/O thread's stack of 256 KiB. Found beside it: a sequence of 40 diamonds (122 jobs) doubled the work with each diamond, and the cancellation of a job with 20,000 dependents cost their square.

Change: changes are collected and passed on before each scheduling cycle, in topological order (DependencyOrder, the path of the search on the heap). A job whose cancellation another controller makes durable costs no update object a cycle. DependencyTrackerTest calls the propagation that was implicit before; its assertions are unchanged.

--- a/src/main/java/dewlane/core/controller/ControllerAssembly.java
+++ b/src/main/java/dewlane/core/controller/ControllerAssembly.java
@@ -101,7 +101,7 @@
         scaleIn = autoscaling.scaleIn(authority);
         barrier = new ReadBarrier(context, replica);
         storeWatcher = new StoreWatcher(context, replica, storeConnectivity, freshness, barrier, counters);
-        scheduling = new SchedulingTrigger(context, schedulingCycle, commands);
+        scheduling = new SchedulingTrigger(context, dependencies, schedulingCycle, commands);
         listenToReplica();
     }
 
--- a/src/main/java/dewlane/core/controller/SchedulingTrigger.java
+++ b/src/main/java/dewlane/core/controller/SchedulingTrigger.java
@@ -1,5 +1,6 @@
 package dewlane.core.controller;
 
+import dewlane.core.job.DependencyTracker;
 import dewlane.core.message.ControllerContext;
 import dewlane.core.scheduling.SchedulingCycle;
 import dewlane.core.worker.CommandDispatcher;
@@ -14,13 +15,19 @@
     private static final long IDLE_INTERVAL_MS = 300;
 
     private final ControllerContext context;
+    private final DependencyTracker dependencies;
     private final SchedulingCycle cycle;
     private final CommandDispatcher commands;
     private boolean requested;
     private long cycleAtMs = ControllerContext.NEVER_MS;
 
-    SchedulingTrigger(ControllerContext context, SchedulingCycle cycle, CommandDispatcher commands) {
+    SchedulingTrigger(
+            ControllerContext context,
+            DependencyTracker dependencies,
+            SchedulingCycle cycle,
+            CommandDispatcher commands) {
         this.context = context;
+        this.dependencies = dependencies;
         this.cycle = cycle;
         this.commands = commands;
     }
@@ -42,6 +49,7 @@
         if (requested && sinceCycleMs() >= MIN_INTERVAL_MS) {
             cycleAtMs = context.nowMs();
             requested = false;
+            dependencies.propagateUrgency();
             cycle.run();
             commands.sendDirectCommands();
         }
--- a/src/main/java/dewlane/core/job/DependencyTracker.java
+++ b/src/main/java/dewlane/core/job/DependencyTracker.java
@@ -58,28 +58,19 @@
         resolver.onRecordFound(job.id());
         List<String> dependencies = job.job().dependencies();
         List<String> failed = graph.add(job.id(), dependencies);
-        inheritFromDependents(job);
-        dependencies.forEach(dependency -> onDependency(dependency, job));
+        urgency.markChanged(job.id());
+        failed.forEach(this::markDependenciesChanged);
+        dependencies.forEach(this::onDependency);
         eventLog.logCancelled(failed, job.id());
         if (!dependencies.isEmpty() && !graph.isReady(job.id()) && !graph.hasFailed(job.id())) {
             eventLog.logWaiting(job.id(), graph.unsatisfiedDependencies(job.id()));
         }
     }
 
-    private void inheritFromDependents(JobEntry job) {
-        for (String id : graph.dependents(job.id())) {
-            JobEntry dependent = replica.activeJob(id);
-            if (dependent != null) {
-                urgency.raise(job, dependent);
-            }
-        }
-    }
-
-    private void onDependency(String id, JobEntry dependent) {
-        JobEntry dependency = replica.activeJob(id);
+    private void onDependency(String id) {
         JobResult result = replica.cachedResult(id);
-        if (dependency != null) {
-            urgency.raise(dependency, dependent);
+        if (replica.activeJob(id) != null) {
+            urgency.markChanged(id);
         } else if (result != null) {
             onEnded(id, result);
         } else {
@@ -97,7 +88,7 @@
         }
         List<String> dependencies = List.copyOf(graph.allDependencies(id));
         graph.remove(id);
-        dependencies.forEach(urgency::recompute);
+        dependencies.forEach(urgency::markChanged);
         dependencies.forEach(this::stopResolvingIfUnneeded);
     }
 
@@ -140,8 +131,20 @@
     private void fail(String id) {
         List<String> failedDependents = graph.recordResult(id, Result.FAILED);
         eventLog.logCancelled(failedDependents, id);
-        urgency.recomputeDependenciesOf(id);
-        failedDependents.forEach(urgency::recomputeDependenciesOf);
+        markDependenciesChanged(id);
+        failedDependents.forEach(this::markDependenciesChanged);
+    }
+
+    private void markDependenciesChanged(String job) {
+        graph.allDependencies(job).forEach(urgency::markChanged);
+    }
+
+    /**
+     * Propagates the priorities and deadlines of new, failed and removed jobs to the jobs that they depend on. Until
+     * this is called, jobs keep the priorities and deadlines that they had before.
+     */
+    public void propagateUrgency() {
+        urgency.propagate();
     }
 
     /**
--- a/src/main/java/dewlane/core/job/UrgencyInheritance.java
+++ b/src/main/java/dewlane/core/job/UrgencyInheritance.java
@@ -3,11 +3,18 @@
 import dewlane.core.model.Priority;
 import dewlane.core.store.JobEntry;
 import dewlane.core.store.StoreReplica;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 
 /**
  * Priority and deadline inheritance: a job inherits the highest priority of all jobs that depend on it, directly or
- * transitively, and a deadline early enough for them to meet theirs. Both are updated only when a job is added, fails
- * or is removed, and an update is propagated to further dependencies only while it changes a value.
+ * transitively, and a deadline early enough for them to meet theirs.
+ *
+ * <p>Changes are collected and propagated together. A propagation computes each job at most once, dependents before
+ * their dependencies, and needs no stack depth that grows with the number of jobs. Its cost is linear in the number of
+ * jobs that the outdated ones depend on, directly or transitively.
  */
 final class UrgencyInheritance {
     /**
@@ -16,61 +23,80 @@
      */
     private static final double START_LATENCY_S = 3;
 
+    /** The priority and deadline of a job. */
+    private record Urgency(Priority priority, long deadlineMs) {}
+
     private final StoreReplica replica;
     private final DependencyGraph graph;
+    /** Jobs whose own record or whose dependents have changed since the last propagation. */
+    private final Set<String> changed = new LinkedHashSet<>();
 
     UrgencyInheritance(StoreReplica replica, DependencyGraph graph) {
         this.replica = replica;
         this.graph = graph;
     }
 
-    /**
-     * Raises the priority of the dependency and makes its deadline earlier, as far as the dependent requires it, and
-     * propagates the change to the jobs that the dependency depends on. Called when the dependent is new or has become
-     * more urgent.
-     */
-    void raise(JobEntry dependency, JobEntry dependent) {
-        if (graph.hasFailed(dependent.id())) {
-            return;
-        }
-        Priority priority = highest(dependency.priority(), dependent.priority());
-        long deadlineMs = Math.min(dependency.deadlineMs(), latestEndOfDependenciesMs(dependent));
-        if (priority == dependency.priority() && deadlineMs == dependency.deadlineMs()) {
-            return;
+    /** Records that the job is new, or that one of its dependents is new, has failed or was removed. */
+    void markChanged(String job) {
+        changed.add(job);
+    }
+
+    /** Computes the priority and deadline of the jobs marked as changed, and of all jobs that they depend on. */
+    void propagate() {
+        Set<String> outdated = new HashSet<>();
+        for (String id : changed) {
+            if (isOutdated(id)) {
+                outdated.add(id);
+            }
         }
-        dependency.inheritUrgency(priority, deadlineMs);
-        for (String id : graph.unsatisfiedDependencies(dependency.id())) {
-            JobEntry upstream = replica.activeJob(id);
-            if (upstream != null) {
-                raise(upstream, dependency);
+        changed.clear();
+        for (String id : dependentsFirst(outdated)) {
+            if (outdated.contains(id) && update(id)) {
+                outdated.addAll(graph.unsatisfiedDependencies(id));
             }
         }
     }
 
-    /** Recomputes the priority and deadline of all dependencies of a job that failed. */
-    void recomputeDependenciesOf(String failedJob) {
-        graph.allDependencies(failedJob).forEach(this::recompute);
+    private boolean isOutdated(String id) {
+        JobEntry job = replica.activeJob(id);
+        return job != null && !urgencyOf(job).equals(currentUrgency(job));
     }
 
-    /** Recomputes the priority and deadline of a job after one of its dependents was removed or failed. */
-    void recompute(String id) {
+    /** Returns the active jobs among the given ones and all that they depend on, each after its dependents. */
+    private List<String> dependentsFirst(Set<String> jobs) {
+        return jobs.isEmpty()
+                ? List.of()
+                : DependencyOrder.dependentsFirst(
+                        jobs, graph::unsatisfiedDependencies, id -> replica.activeJob(id) != null);
+    }
+
+    /** Computes the job's priority and deadline anew, and returns true if they have changed. */
+    private boolean update(String id) {
         JobEntry job = replica.activeJob(id);
-        if (job == null) {
-            return;
+        Urgency urgency = urgencyOf(job);
+        if (urgency.equals(currentUrgency(job))) {
+            return false;
         }
+        job.inheritUrgency(urgency.priority(), urgency.deadlineMs());
+        return true;
+    }
+
+    private static Urgency currentUrgency(JobEntry job) {
+        return new Urgency(job.priority(), job.deadlineMs());
+    }
+
+    /** Returns the urgency that follows from the job's own record and from its dependents. */
+    private Urgency urgencyOf(JobEntry job) {
         Priority priority = job.job().priority();
         long deadlineMs = job.ownDeadlineMs();
-        for (String dependentId : graph.dependents(id)) {
+        for (String dependentId : graph.dependents(job.id())) {
             JobEntry dependent = replica.activeJob(dependentId);
             if (dependent != null && !graph.hasFailed(dependentId)) {
                 priority = highest(priority, dependent.priority());
                 deadlineMs = Math.min(deadlineMs, latestEndOfDependenciesMs(dependent));
             }
         }
-        if (priority != job.priority() || deadlineMs != job.deadlineMs()) {
-            job.inheritUrgency(priority, deadlineMs);
-            graph.unsatisfiedDependencies(id).forEach(this::recompute);
-        }
+        return new Urgency(priority, deadlineMs);
     }
 
     private static Priority highest(Priority one, Priority other) {
--- a/src/main/java/dewlane/core/scheduling/JobFinisher.java
+++ b/src/main/java/dewlane/core/scheduling/JobFinisher.java
@@ -38,6 +38,11 @@
         return !job.isCancelled() && dependencies.isCancelled(job);
     }
 
+    /** Returns true if making the cancellation of a job durable is left to another controller. */
+    boolean isCancellationLeftToOtherController(JobEntry job) {
+        return !isResponsibleFor(job);
+    }
+
     /** Returns true if ending the given finished job is left to another controller. */
     boolean isLeftToOtherController(JobUpdate update) {
         return update.slicesWithOutcomes().isEmpty() && !isResponsibleFor(update.job());
@@ -97,9 +102,6 @@
      */
     void propagateCancellation(JobUpdate update) {
         JobEntry job = update.job();
-        if (!isResponsibleFor(job)) {
-            return;
-        }
         String key = StoreKeys.job(job.id());
         StoredValue.JobResult result = new StoredValue.JobResult(true, context.wallClockMs());
         Transaction.Builder transaction = new Transaction.Builder().require(key, job.revision());
--- a/src/main/java/dewlane/core/scheduling/JobWriter.java
+++ b/src/main/java/dewlane/core/scheduling/JobWriter.java
@@ -54,8 +54,12 @@
         if (!transactions.isReady(job)) {
             return;
         }
+        boolean isCancelledByDependency = finisher.isCancelledByDependency(job);
+        if (isCancelledByDependency && finisher.isCancellationLeftToOtherController(job)) {
+            return;
+        }
         JobUpdate update = transactions.begin(job);
-        if (finisher.isCancelledByDependency(job)) {
+        if (isCancelledByDependency) {
             finisher.propagateCancellation(update);
             return;
         }
--- a/src/test/java/dewlane/core/job/DependencyTrackerTest.java
+++ b/src/test/java/dewlane/core/job/DependencyTrackerTest.java
@@ -45,6 +45,7 @@
 
     private void store(JobRecord record) {
         replica.apply(new Input.KeyChange(StoreKeys.job(record.job().id()), record, ++revision));
+        dependencies.propagateUrgency();
     }
 
     @Test
