One error no longer stops the watch, the periodic tasks or other jobs for ever

Cause: the next watch was requested as the last step of applying an answer, and the loop caught exceptions only. In the same way a periodic task that failed at each tick kept those after it from running, the renewal of the lease among them, and one failing job kept the jobs after it from being scheduled.

Change: an answer that cannot be applied leads to a new listing, with growing pauses, and until then the replica counts neither as current nor as fresh; a listed value that cannot be applied holds up its own job only; watches have ids, and one unanswered for 100 ticks is replaced; FailureIsolation keeps failures of tasks, listeners, jobs and waiting reads apart and throws the first one at the end; an error other than a stack overflow ends the process; each request has a result, however its answer fails to parse.

No answer of another service is known that would have failed to parse with anything but the IOException that was caught before.

--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -104,11 +104,12 @@
                 new Input.MachineTypesListed(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
                 new Input.Tick(),
                 new Input.TransactionCompleted(1, Transaction.Status.COMMITTED, 2),
-                new Input.WatchEvents(List.of(new Input.KeyChange(StoreKeys.PARTITION_MAP, map, 2)), 2),
+                new Input.WatchEvents(1, List.of(new Input.KeyChange(StoreKeys.PARTITION_MAP, map, 2)), 2),
                 new Input.Tick(),
                 new Input.SubmitJob(1, job.id(), job, null),
                 new Input.TransactionCompleted(2, Transaction.Status.COMMITTED, 3),
                 new Input.WatchEvents(
+                        2,
                         List.of(
                                 new Input.KeyChange(
                                         StoreKeys.job(job.id()), new StoredValue.JobRecord(job, List.of(), 0), 3),
--- a/src/main/java/dewlane/core/controller/Controller.java
+++ b/src/main/java/dewlane/core/controller/Controller.java
@@ -6,6 +6,7 @@
 import dewlane.core.message.ControllerCounters;
 import dewlane.core.message.Counter;
 import dewlane.core.message.Effect;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.message.HandlerTable;
 import dewlane.core.message.Input;
 import dewlane.core.schema.ValueSizer;
@@ -41,7 +42,8 @@
     }
 
     /**
-     * Handles one input, then runs a scheduling cycle if one is due.
+     * Handles one input, then runs a scheduling cycle if one is due. If either fails, the exception is thrown after
+     * both have run, and the effects emitted so far are returned by the next call.
      *
      * @param nowMs monotonic arrival time in milliseconds
      * @param wallMs wall-clock arrival time in milliseconds
@@ -49,8 +51,7 @@
      */
     public List<Effect> handle(long nowMs, long wallMs, Input input) {
         context.beginInput(nowMs, wallMs);
-        handlers.dispatch(input);
-        scheduling.runIfDue();
+        FailureIsolation.runAll(List.of(() -> handlers.dispatch(input), scheduling::runIfDue));
         return context.takeEffects();
     }
 
@@ -82,8 +83,8 @@
 
     /**
      * Returns true if the load balancer should send user requests to this controller: it is ready, and it reaches the
-     * store or no peer does. In a store outage for all controllers this stays true, since no other controller would
-     * serve users better.
+     * store or no peer does. In a store outage for all controllers this stays true, since no
+     * other controller would serve users better.
      */
     public boolean isHealthy() {
         return readiness.isHealthy();
--- a/src/main/java/dewlane/core/controller/PeriodicTasks.java
+++ b/src/main/java/dewlane/core/controller/PeriodicTasks.java
@@ -1,11 +1,15 @@
 package dewlane.core.controller;
 
 import dewlane.core.message.ControllerContext;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.message.HandlerTable;
 import dewlane.core.message.Input;
 import java.util.List;
 
-/** Runs periodic tasks in a fixed order: some on every tick, the others about once a second. */
+/**
+ * Runs periodic tasks in a fixed order: some on every tick, the others about once a second. If a task fails, the others
+ * still run.
+ */
 final class PeriodicTasks {
     private static final long SLOW_INTERVAL_MS = 1000;
 
@@ -25,10 +29,13 @@
     }
 
     private void run() {
-        everyTick.forEach(Runnable::run);
+        FailureIsolation.runAll(List.of(() -> FailureIsolation.runAll(everyTick), this::runSlowTasksIfDue));
+    }
+
+    private void runSlowTasksIfDue() {
         if (context.nowMs() - slowTickAtMs >= SLOW_INTERVAL_MS) {
             slowTickAtMs = context.nowMs();
-            everySecond.forEach(Runnable::run);
+            FailureIsolation.runAll(everySecond);
         }
     }
 }
--- a/src/main/java/dewlane/core/controller/ReplicaListeners.java
+++ b/src/main/java/dewlane/core/controller/ReplicaListeners.java
@@ -1,5 +1,6 @@
 package dewlane.core.controller;
 
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.store.ReplicaChange;
 import java.util.ArrayList;
 import java.util.List;
@@ -7,7 +8,7 @@
 
 /**
  * Notifies listeners of each change of the replica, in the order of their registration. The listeners keep state that
- * is derived from the replica.
+ * is derived from the replica. If a listener fails, the others are still notified.
  */
 final class ReplicaListeners implements Consumer<ReplicaChange> {
     private final List<Consumer<ReplicaChange>> listeners = new ArrayList<>();
@@ -18,8 +19,6 @@
 
     @Override
     public void accept(ReplicaChange change) {
-        for (Consumer<ReplicaChange> listener : listeners) {
-            listener.accept(change);
-        }
+        FailureIsolation.forEach(listeners, listener -> listener.accept(change));
     }
 }
--- a/src/main/java/dewlane/core/controller/SchedulingTrigger.java
+++ b/src/main/java/dewlane/core/controller/SchedulingTrigger.java
@@ -2,8 +2,10 @@
 
 import dewlane.core.job.DependencyTracker;
 import dewlane.core.message.ControllerContext;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.scheduling.SchedulingCycle;
 import dewlane.core.worker.CommandDispatcher;
+import java.util.List;
 
 /**
  * Decides when a scheduling cycle runs: after inputs that may affect scheduling decisions, and periodically without
@@ -49,9 +51,7 @@
         if (requested && sinceCycleMs() >= MIN_INTERVAL_MS) {
             cycleAtMs = context.nowMs();
             requested = false;
-            dependencies.propagateUrgency();
-            cycle.run();
-            commands.sendDirectCommands();
+            FailureIsolation.runAll(List.of(dependencies::propagateUrgency, cycle::run, commands::sendDirectCommands));
         }
     }
 
--- a/src/main/java/dewlane/core/message/Effect.java
+++ b/src/main/java/dewlane/core/message/Effect.java
@@ -19,9 +19,10 @@
     /**
      * Wait for changes in the store; answered by {@link Input.WatchEvents} or {@link Input.WatchFailed}.
      *
+     * @param id the id of the watch, which its answer repeats
      * @param afterRevision the revision after which changes are requested
      */
-    record Watch(long afterRevision) implements Effect {}
+    record Watch(long id, long afterRevision) implements Effect {}
 
     /** Send a transaction to the store; answered by {@link Input.TransactionCompleted}. */
     record CommitTransaction(long id, Transaction transaction) implements Effect {}
--- a/src/main/java/dewlane/core/message/Input.java
+++ b/src/main/java/dewlane/core/message/Input.java
@@ -47,17 +47,19 @@
     /**
      * The store answered a watch request.
      *
+     * @param watch the id of the watch
      * @param changes all changes after the requested revision up to {@code revision}, ordered by revision
      * @param revision the store's revision
      */
-    record WatchEvents(List<KeyChange> changes, long revision) implements Input {}
+    record WatchEvents(long watch, List<KeyChange> changes, long revision) implements Input {}
 
     /**
      * A watch request timed out or failed.
      *
+     * @param watch the id of the watch
      * @param revisionCompacted true if the store no longer holds all changes since the watch's revision
      */
-    record WatchFailed(boolean revisionCompacted) implements Input {}
+    record WatchFailed(long watch, boolean revisionCompacted) implements Input {}
 
     /**
      * A transaction completed, or its request failed.
--- a/src/main/java/dewlane/core/scheduling/SchedulingCycle.java
+++ b/src/main/java/dewlane/core/scheduling/SchedulingCycle.java
@@ -2,7 +2,7 @@
 
 import dewlane.core.fleet.Machine;
 import dewlane.core.membership.Membership;
-import dewlane.core.store.JobEntry;
+import dewlane.core.message.FailureIsolation;
 import java.util.List;
 
 /**
@@ -38,7 +38,9 @@
         return scan.schedulableMachines();
     }
 
-    /** Runs one cycle over all jobs and the machines of this partition. */
+    /**
+     * Runs one cycle over all jobs and the machines of this partition. A job that fails does not hold up the others.
+     */
     public void run() {
         writer.reconcileLaunches();
         if (!membership.isMember()) {
@@ -46,21 +48,17 @@
             return;
         }
         scan.run();
-        queue.failedJobs().forEach(writer::writeWithoutLaunches);
-        JobQueue.Order order = queue.order();
-        planner.beginCycle(scan, order.guaranteed());
-        writeInOrder(order.jobs());
-        garbageCollector.collect();
+        FailureIsolation.runAll(List.of(this::writeFailedJobs, this::writeReadyJobs, garbageCollector::collect));
+    }
+
+    private void writeFailedJobs() {
+        FailureIsolation.forEach(queue.failedJobs(), writer::writeWithoutLaunches);
     }
 
-    private void writeInOrder(List<JobEntry> jobs) {
+    private void writeReadyJobs() {
+        JobQueue.Order order = queue.order();
+        planner.beginCycle(scan, order.guaranteed());
         boolean mayLaunch = membership.isStoreReachable();
-        for (JobEntry job : jobs) {
-            if (mayLaunch) {
-                writer.writeWithLaunches(job);
-            } else {
-                writer.writeWithoutLaunches(job);
-            }
-        }
+        FailureIsolation.forEach(order.jobs(), mayLaunch ? writer::writeWithLaunches : writer::writeWithoutLaunches);
     }
 }
--- a/src/main/java/dewlane/core/store/ReadBarrier.java
+++ b/src/main/java/dewlane/core/store/ReadBarrier.java
@@ -2,6 +2,7 @@
 
 import dewlane.core.message.ControllerContext;
 import dewlane.core.message.Effect;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.message.Input;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -73,7 +74,7 @@
 
     /** Called when the request in flight has failed. */
     public void onRevisionReadFailed() {
-        takeRequested().forEach(read -> read.onUnavailable().run());
+        FailureIsolation.forEach(takeRequested(), read -> read.onUnavailable().run());
         sendRequest();
     }
 
@@ -87,14 +88,16 @@
     /** Called when the replica has reached a later revision. */
     void onReplicaAdvanced() {
         while (!awaitingReplica.isEmpty() && awaitingReplica.peek().revision() <= replica.revision()) {
-            awaitingReplica.poll().reads().forEach(read -> read.onCurrent().run());
+            FailureIsolation.forEach(
+                    awaitingReplica.poll().reads(), read -> read.onCurrent().run());
         }
     }
 
     /** Sends a request for the reads that have arrived if one is due, and fails those that timed out. */
     public void tick() {
         while (!awaitingReplica.isEmpty() && hasTimedOut(awaitingReplica.peek())) {
-            awaitingReplica.poll().reads().forEach(read -> read.onUnavailable().run());
+            FailureIsolation.forEach(
+                    awaitingReplica.poll().reads(), read -> read.onUnavailable().run());
         }
         sendRequest();
     }
--- a/src/main/java/dewlane/core/store/StoreReplica.java
+++ b/src/main/java/dewlane/core/store/StoreReplica.java
@@ -2,6 +2,7 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.message.Input.KeyChange;
 import dewlane.core.message.Input.StoreRow;
 import dewlane.core.schema.SchemaVersion;
@@ -12,6 +13,7 @@
 import dewlane.core.schema.StoredValue.PartitionMap;
 import dewlane.core.schema.StoredValue.Presence;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -50,24 +52,41 @@
         this.jobs = new JobTable(listener);
     }
 
-    /**
-     * Replaces the contents by a listing. All changes after {@code listedRevision} must be applied next, even those
-     * that the listed rows already include.
-     */
-    void load(List<StoreRow> rows, long listedRevision) {
+    /** Removes the contents before a listing is loaded. */
+    void clear() {
         jobs.clear();
         decommissions.clear();
         presences.clear();
         teamUsageRevisions.clear();
         // The map itself is kept, as the listener receives it as the previous one.
         partitionMapRevision = 0;
+    }
+
+    /**
+     * Adds the rows of a listing. All changes after {@code listedRevision} must be applied next, even those that the
+     * listed rows already include. If a row fails, its value counts as unreadable, and the exception is thrown once all
+     * rows have been added.
+     */
+    void load(List<StoreRow> rows, long listedRevision) {
+        List<StoreRow> sorted = new ArrayList<>(rows);
+        sorted.sort(Comparator.comparing((StoreRow row) -> !row.key().startsWith(StoreKeys.JOBS))
+                .thenComparingLong(StoreRow::revision));
         loading = true;
-        rows.stream()
-                .sorted(Comparator.comparing((StoreRow row) -> !row.key().startsWith(StoreKeys.JOBS))
-                        .thenComparingLong(StoreRow::revision))
-                .forEach(row -> apply(new KeyChange(row.key(), row.value(), row.revision())));
-        loading = false;
-        revision = listedRevision;
+        try {
+            FailureIsolation.forEach(sorted, this::applyListed);
+        } finally {
+            loading = false;
+            revision = listedRevision;
+        }
+    }
+
+    private void applyListed(StoreRow row) {
+        try {
+            apply(new KeyChange(row.key(), row.value(), row.revision()));
+        } catch (RuntimeException | StackOverflowError e) {
+            applyUnreadable(StoreKey.parse(row.key()), row.key(), "internal error: " + e);
+            throw e;
+        }
     }
 
     /** Called when all changes up to the revision have been applied. */
--- a/src/main/java/dewlane/core/store/StoreWatcher.java
+++ b/src/main/java/dewlane/core/store/StoreWatcher.java
@@ -4,6 +4,7 @@
 import dewlane.core.message.ControllerCounters;
 import dewlane.core.message.Counter;
 import dewlane.core.message.Effect;
+import dewlane.core.message.FailureIsolation;
 import dewlane.core.message.Input;
 
 /**
@@ -13,6 +14,13 @@
 public final class StoreWatcher {
     /** The shortest time between the starts of two listings. */
     private static final long LIST_RETRY_MS = 500;
+    /** After repeated failures to update the replica, the pause before a listing grows up to this power of two. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 6;
+    /**
+     * The number of ticks after which an unanswered watch is given up. Ticks are counted instead of milliseconds, so
+     * that a pause of the process, during which no answer could be read, does not count.
+     */
+    private static final int MAX_TICKS_PER_WATCH = 100;
 
     private final ControllerContext context;
     private final StoreReplica replica;
@@ -25,6 +33,15 @@
     /** When the watch in flight was requested; its answer includes everything that was durable at that time. */
     private long watchRequestedAtMs;
 
+    /** The id of the watch in flight, or of the last one. Answers to earlier watches are ignored. */
+    private long watchId;
+
+    private int ticksSinceWatch;
+    /** The number of updates of the replica that have failed since changes were last applied. */
+    private int failedUpdates;
+
+    private long listNotBeforeMs = ControllerContext.NEVER_MS;
+    /** False from the start of an update of the replica until its end, and so after a failed one. */
     private boolean loaded;
     /** The revision that the replica must have reached to be consistent, see {@link #isCaughtUp()}. */
     private long consistentFromRevision;
@@ -58,28 +75,56 @@
         return loaded && replica.revision() >= consistentFromRevision;
     }
 
-    /** Requests a listing if the store is not being watched. */
+    /** Requests a listing if the store is not being watched, or if the watch was never answered. */
     public void tick() {
-        if (!loaded && !listInFlight && context.nowMs() - listRequestedAtMs > LIST_RETRY_MS) {
+        ticksSinceWatch++;
+        if (loaded && ticksSinceWatch > MAX_TICKS_PER_WATCH) {
+            context.info("the watch has not been answered, listing the store again");
+            loaded = false;
+        }
+        if (!loaded && isListingDue()) {
             listInFlight = true;
             listRequestedAtMs = context.nowMs();
             context.emit(new Effect.ListStore());
         }
     }
 
+    private boolean isListingDue() {
+        return !listInFlight
+                && context.nowMs() - listRequestedAtMs > LIST_RETRY_MS
+                && context.nowMs() >= listNotBeforeMs;
+    }
+
     /** Called when the store has been listed. */
     public void onListed(Input.StoreListed in) {
         connectivity.onContact();
         listInFlight = false;
-        loaded = true;
+        loaded = false;
         // Later pages of the listing may include changes that earlier pages lack. The replica is consistent once the
         // watch has reached the last page's revision.
         consistentFromRevision = in.latestRevision();
-        replica.load(in.rows(), in.revision());
-        freshness.onRefreshed(listRequestedAtMs);
-        barrier.onReplicaAdvanced();
-        context.info("read " + replica.jobs().size() + " jobs from the store at revision " + in.revision());
-        watch(in.revision());
+        try {
+            replica.clear();
+            loaded = true;
+            replica.load(in.rows(), in.revision());
+            freshness.onRefreshed(listRequestedAtMs);
+            barrier.onReplicaAdvanced();
+            context.info("read " + replica.jobs().size() + " jobs from the store at revision " + in.revision());
+        } finally {
+            watchOrListAgain(in.revision());
+        }
+    }
+
+    /** Requests the next watch, or a listing if the update of the replica has failed, as it may lack a change. */
+    private void watchOrListAgain(long revision) {
+        if (loaded) {
+            watch(revision);
+            return;
+        }
+        long pauseMs = LIST_RETRY_MS << Math.min(failedUpdates, MAX_BACKOFF_DOUBLINGS);
+        failedUpdates++;
+        listNotBeforeMs = context.nowMs() + pauseMs;
+        context.info("the replica could not be updated, listing the store again in " + pauseMs + " ms");
     }
 
     /** Called when the listing has failed. */
@@ -88,8 +133,10 @@
     }
 
     private void watch(long afterRevision) {
+        watchId++;
+        ticksSinceWatch = 0;
         watchRequestedAtMs = context.nowMs();
-        context.emit(new Effect.Watch(afterRevision));
+        context.emit(new Effect.Watch(watchId, afterRevision));
     }
 
     /**
@@ -98,20 +145,30 @@
      * @return true if the answer contained changes
      */
     public boolean onEvents(Input.WatchEvents in) {
-        if (!loaded) {
+        if (!loaded || in.watch() != watchId) {
             return false;
         }
         connectivity.onContact();
-        for (Input.KeyChange change : in.changes()) {
-            replica.apply(change);
+        loaded = false;
+        try {
+            applyChanges(in);
+            loaded = true;
+            freshness.onRefreshed(watchRequestedAtMs);
+            barrier.onReplicaAdvanced();
+        } finally {
+            watchOrListAgain(in.revision());
         }
+        return !in.changes().isEmpty();
+    }
+
+    private void applyChanges(Input.WatchEvents in) {
+        FailureIsolation.forEach(in.changes(), replica::apply);
         counters.add(Counter.CHANGES_SEEN, in.changes().size());
         logProgress(in);
         replica.advance(in.revision());
-        barrier.onReplicaAdvanced();
-        freshness.onRefreshed(watchRequestedAtMs);
-        watch(in.revision());
-        return !in.changes().isEmpty();
+        if (!in.changes().isEmpty()) {
+            failedUpdates = 0;
+        }
     }
 
     private void logProgress(Input.WatchEvents in) {
@@ -124,6 +181,9 @@
 
     /** Called when a watch has ended without an answer. */
     public void onWatchFailed(Input.WatchFailed in) {
+        if (in.watch() != watchId) {
+            return;
+        }
         if (in.revisionCompacted()) {
             context.info("the watch fell behind, listing the store again");
             loaded = false;
--- a/src/main/java/dewlane/io/CloudClient.java
+++ b/src/main/java/dewlane/io/CloudClient.java
@@ -3,11 +3,11 @@
 import dewlane.core.message.Effect;
 import dewlane.core.message.Input;
 import dewlane.core.model.CloudInstance;
+import dewlane.core.model.MachineType;
 import dewlane.wire.CloudProtocol;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -38,12 +38,12 @@
     /** Lists the machine types that the cloud offers. */
     void listMachineTypes() {
         calls.send(Methods.GET, CloudProtocol.MACHINE_TYPES_PATH, null, TIMEOUT_MS, (status, body) -> {
-            try {
-                if (status == StatusCodes.OK) {
-                    core.accept(new Input.MachineTypesListed(CloudProtocol.parseMachineTypes(body)));
-                }
-            } catch (IOException e) {
-                LOG.error("malformed list of machine types from the cloud: {}", e.getMessage());
+            List<MachineType> types = status == StatusCodes.OK
+                    ? AnswerParser.parse(
+                            "list of machine types from the cloud", () -> CloudProtocol.parseMachineTypes(body), null)
+                    : null;
+            if (types != null) {
+                core.accept(new Input.MachineTypesListed(types));
             }
         });
     }
@@ -63,10 +63,10 @@
                 LOG.debug("the cloud answered a listing of instances with status {}", status);
                 return;
             }
-            try {
-                onPage(CloudProtocol.parsePage(body), instances);
-            } catch (IOException e) {
-                LOG.error("malformed list of instances from the cloud: {}", e.getMessage());
+            CloudProtocol.Page page =
+                    AnswerParser.parse("list of instances from the cloud", () -> CloudProtocol.parsePage(body), null);
+            if (page != null) {
+                onPage(page, instances);
             }
         });
     }
@@ -119,12 +119,8 @@
     }
 
     private static List<String> createdNames(byte[] body) {
-        try {
-            return CloudProtocol.parseCreatedInstances(body);
-        } catch (IOException e) {
-            LOG.error("malformed list of created instances from the cloud: {}", e.getMessage());
-            return List.of();
-        }
+        return AnswerParser.parse(
+                "list of created instances from the cloud", () -> CloudProtocol.parseCreatedInstances(body), List.of());
     }
 
     /** Deletes instances. */
--- a/src/main/java/dewlane/io/ControllerServer.java
+++ b/src/main/java/dewlane/io/ControllerServer.java
@@ -29,6 +29,7 @@
     private static final int MAX_POOLED_BUFFERS = 200;
     private static final int IDLE_CONNECTION_TIMEOUT_MS = 120_000;
     private static final int REQUEST_HEADER_TIMEOUT_MS = 10_000;
+    private static final int EXIT_FATAL_ERROR = 3;
 
     private final Settings settings;
     private final NetworkSettings network;
@@ -54,7 +55,7 @@
         this.controller = new Controller(settings, seed, value -> StoredValueCodec.encode(value).length);
         this.controller.setCommandLogging(
                 LoggerFactory.getLogger(Controller.class).isDebugEnabled());
-        this.loop = new ControllerLoop(controller, this::dispatch);
+        this.loop = new ControllerLoop(controller, this::dispatch, ControllerServer::exit);
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -77,6 +78,15 @@
         effects.dispatch(effect);
     }
 
+    /** Ends the process at once, so that it is restarted, as nothing can be relied on after the error. */
+    private static void exit(Error error) {
+        try {
+            LOG.error("fatal error, exiting", error);
+        } finally {
+            Runtime.getRuntime().halt(EXIT_FATAL_ERROR);
+        }
+    }
+
     /** Starts to listen and to send ticks to the core. */
     public void start() {
         server = Undertow.builder()
--- a/src/main/java/dewlane/io/EffectDispatcher.java
+++ b/src/main/java/dewlane/io/EffectDispatcher.java
@@ -48,7 +48,7 @@
 
     private void registerStore(StoreClient store) {
         handlers.on(Effect.CommitTransaction.class, e -> store.commit(e.id(), e.transaction()));
-        handlers.on(Effect.Watch.class, e -> store.watch(e.afterRevision()));
+        handlers.on(Effect.Watch.class, e -> store.watch(e.id(), e.afterRevision()));
         handlers.on(Effect.ReadValue.class, e -> store.read(e.id(), e.key()));
         handlers.on(Effect.ReadRevision.class, e -> store.readRevision());
         handlers.on(Effect.ListStore.class, e -> store.list());
--- a/src/main/java/dewlane/io/StoreClient.java
+++ b/src/main/java/dewlane/io/StoreClient.java
@@ -60,32 +60,39 @@
 
     /** Lists all keys except those of job results, page by page. */
     void list() {
-        listPage(StoreKeys.AFTER_JOB_RESULTS, new ArrayList<>(), 0);
+        listPage(new Listing(), StoreKeys.AFTER_JOB_RESULTS);
     }
 
-    private void listPage(String after, List<Input.StoreRow> rows, long firstRevision) {
+    /** A listing in progress. */
+    private static final class Listing {
+        final List<Input.StoreRow> rows = new ArrayList<>();
+        long firstRevision;
+    }
+
+    private void listPage(Listing listing, String after) {
         String path = StoreProtocol.listPath(StoreKeys.ROOT, after, PAGE_KEYS);
         calls.send(Methods.GET, path, null, LIST_TIMEOUT_MS, (status, body) -> {
-            if (status != StatusCodes.OK) {
+            if (status == StatusCodes.OK) {
+                onPage(listing, body);
+            } else {
                 acceptAfter(RETRY_DELAY_MS, new Input.StoreListFailed());
-                return;
-            }
-            try {
-                onPage(StoreProtocol.parsePage(body), rows, firstRevision);
-            } catch (IOException e) {
-                LOG.error("malformed listing from the store: {}", e.getMessage());
-                core.accept(new Input.StoreListFailed());
             }
         });
     }
 
-    private void onPage(StoreProtocol.Page page, List<Input.StoreRow> rows, long firstRevision) {
-        rows.addAll(page.rows());
-        long listedFrom = firstRevision == 0 ? page.revision() : firstRevision;
+    private void onPage(Listing listing, byte[] body) {
+        StoreProtocol.Page page =
+                AnswerParser.parse("listing from the store", () -> StoreProtocol.parsePage(body), null);
+        if (page == null) {
+            core.accept(new Input.StoreListFailed());
+            return;
+        }
+        listing.rows.addAll(page.rows());
+        listing.firstRevision = listing.firstRevision == 0 ? page.revision() : listing.firstRevision;
         if (page.more() && page.lastKey() != null) {
-            listPage(page.lastKey(), rows, listedFrom);
+            listPage(listing, page.lastKey());
         } else {
-            core.accept(new Input.StoreListed(rows, listedFrom, page.revision()));
+            core.accept(new Input.StoreListed(listing.rows, listing.firstRevision, page.revision()));
         }
     }
 
@@ -94,24 +101,22 @@
     }
 
     /** Opens a watch for changes after the revision, after a pause that keeps to the request rate. */
-    void watch(long afterRevision) {
-        thread.executeAfter(() -> openWatch(afterRevision), watchPauseMs, TimeUnit.MILLISECONDS);
+    void watch(long id, long afterRevision) {
+        thread.executeAfter(() -> openWatch(id, afterRevision), watchPauseMs, TimeUnit.MILLISECONDS);
     }
 
-    private void openWatch(long afterRevision) {
+    private void openWatch(long id, long afterRevision) {
         String path = StoreProtocol.watchPath(StoreKeys.ROOT, afterRevision, WATCH_MS);
         watches.send(Methods.GET, path, null, WATCH_MS + WATCH_GRACE_MS, (status, body) -> {
-            try {
-                if (status == StatusCodes.OK) {
-                    StoreProtocol.Events events = StoreProtocol.parseEvents(body);
-                    core.accept(new Input.WatchEvents(events.changes(), events.revision()));
-                    return;
-                }
-            } catch (IOException e) {
-                LOG.error("malformed changes from the store: {}", e.getMessage());
+            StoreProtocol.Events events = status == StatusCodes.OK
+                    ? AnswerParser.parse("changes from the store", () -> StoreProtocol.parseEvents(body), null)
+                    : null;
+            if (events != null) {
+                core.accept(new Input.WatchEvents(id, events.changes(), events.revision()));
+            } else {
+                long pauseMs = status == HttpConnectionPool.NO_ANSWER ? 0 : RETRY_DELAY_MS;
+                acceptAfter(pauseMs, new Input.WatchFailed(id, status == StatusCodes.GONE));
             }
-            long pauseMs = status == HttpConnectionPool.NO_ANSWER ? 0 : RETRY_DELAY_MS;
-            acceptAfter(pauseMs, new Input.WatchFailed(status == StatusCodes.GONE));
         });
     }
 
@@ -128,12 +133,11 @@
 
     private static Input.TransactionCompleted completed(long id, int status, byte[] body) {
         Transaction.Status outcome = transactionStatus(status);
-        try {
-            boolean hasRevision = outcome == Transaction.Status.COMMITTED || outcome == Transaction.Status.CONFLICT;
-            return new Input.TransactionCompleted(id, outcome, hasRevision ? StoreProtocol.parseRevision(body) : 0);
-        } catch (IOException e) {
-            return new Input.TransactionCompleted(id, Transaction.Status.UNKNOWN, 0);
-        }
+        boolean hasRevision = outcome == Transaction.Status.COMMITTED || outcome == Transaction.Status.CONFLICT;
+        return AnswerParser.parse(
+                "outcome of a transaction from the store",
+                () -> new Input.TransactionCompleted(id, outcome, hasRevision ? StoreProtocol.parseRevision(body) : 0),
+                new Input.TransactionCompleted(id, Transaction.Status.UNKNOWN, 0));
     }
 
     private static Transaction.Status transactionStatus(int status) {
@@ -149,34 +153,43 @@
 
     /** Reads one key. */
     void read(long id, String key) {
-        calls.send(Methods.GET, StoreProtocol.valuePath(key), null, TIMEOUT_MS, (status, body) -> {
-            try {
-                if (status == StatusCodes.OK) {
-                    Input.StoreRow row = StoreProtocol.parseRow(key, body);
-                    core.accept(new Input.ValueRead(id, Optional.ofNullable(row.value())));
-                    return;
-                }
-            } catch (IOException e) {
-                LOG.error("malformed value from the store: {}", e.getMessage());
-            }
-            boolean isAbsent = status == StatusCodes.NOT_FOUND;
-            core.accept(isAbsent ? new Input.ValueRead(id, Optional.empty()) : new Input.ValueReadFailed(id));
-        });
+        calls.send(
+                Methods.GET,
+                StoreProtocol.valuePath(key),
+                null,
+                TIMEOUT_MS,
+                (status, body) -> core.accept(AnswerParser.parse(
+                        "value from the store",
+                        () -> valueRead(id, key, status, body),
+                        new Input.ValueReadFailed(id))));
+    }
+
+    private static Input valueRead(long id, String key, int status, byte[] body) throws IOException {
+        return switch (status) {
+            case StatusCodes.OK ->
+                new Input.ValueRead(
+                        id,
+                        Optional.ofNullable(StoreProtocol.parseRow(key, body).value()));
+            case StatusCodes.NOT_FOUND -> new Input.ValueRead(id, Optional.empty());
+            default -> new Input.ValueReadFailed(id);
+        };
     }
 
     /** Reads the latest revision, which the store includes in its answer to a read of a key that never exists. */
     void readRevision() {
-        calls.send(Methods.GET, StoreProtocol.valuePath(StoreKeys.REVISION_PROBE), null, TIMEOUT_MS, (status, body) -> {
-            Input result = new Input.RevisionReadFailed();
-            try {
-                if (status == StatusCodes.NOT_FOUND) {
-                    result = new Input.RevisionRead(StoreProtocol.parseRevision(body));
-                }
-            } catch (IOException e) {
-                LOG.error("malformed revision from the store: {}", e.getMessage());
-            }
-            core.accept(result);
-        });
+        calls.send(
+                Methods.GET,
+                StoreProtocol.valuePath(StoreKeys.REVISION_PROBE),
+                null,
+                TIMEOUT_MS,
+                (status, body) -> core.accept(AnswerParser.parse(
+                        "revision from the store", () -> revisionRead(status, body), new Input.RevisionReadFailed())));
+    }
+
+    private static Input revisionRead(int status, byte[] body) throws IOException {
+        return status == StatusCodes.NOT_FOUND
+                ? new Input.RevisionRead(StoreProtocol.parseRevision(body))
+                : new Input.RevisionReadFailed();
     }
 
     /** Requests a lease. */
@@ -186,17 +199,14 @@
                 StoreProtocol.LEASES_PATH,
                 StoreProtocol.grantRequest(ttlMs),
                 TIMEOUT_MS,
-                (status, body) -> {
-                    Input result = new Input.LeaseGrantFailed();
-                    try {
-                        if (status == StatusCodes.OK) {
-                            result = new Input.LeaseGranted(StoreProtocol.parseGrantedLease(body));
-                        }
-                    } catch (IOException e) {
-                        LOG.error("malformed lease from the store: {}", e.getMessage());
-                    }
-                    core.accept(result);
-                });
+                (status, body) -> core.accept(AnswerParser.parse(
+                        "lease from the store", () -> leaseGranted(status, body), new Input.LeaseGrantFailed())));
+    }
+
+    private static Input leaseGranted(int status, byte[] body) throws IOException {
+        return status == StatusCodes.OK
+                ? new Input.LeaseGranted(StoreProtocol.parseGrantedLease(body))
+                : new Input.LeaseGrantFailed();
     }
 
     /** Renews a lease. */
--- a/src/main/java/dewlane/io/WorkerCommandClient.java
+++ b/src/main/java/dewlane/io/WorkerCommandClient.java
@@ -5,15 +5,10 @@
 import dewlane.core.model.Heartbeat;
 import dewlane.wire.WorkerProtocol;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Sends direct commands to workers and reports their results to the core. */
 final class WorkerCommandClient {
-    private static final Logger LOG = LoggerFactory.getLogger(WorkerCommandClient.class);
-
     private final WorkerConnectionPools workers;
     private final Consumer<Input> core;
 
@@ -42,13 +37,12 @@
 
     /** Returns the heartbeat in an answer, or null if there is none. */
     private static Heartbeat heartbeat(String machine, int status, byte[] answer) {
-        try {
-            return status == StatusCodes.OK || status == StatusCodes.CONFLICT
-                    ? WorkerProtocol.parseHeartbeat(answer)
-                    : null;
-        } catch (IOException | NumberFormatException e) {
-            LOG.error("malformed heartbeat in the answer of machine {} to a command: {}", machine, e.getMessage());
+        if (status != StatusCodes.OK && status != StatusCodes.CONFLICT) {
             return null;
         }
+        return AnswerParser.parse(
+                "heartbeat in the answer of machine " + machine + " to a command",
+                () -> WorkerProtocol.parseHeartbeat(answer),
+                null);
     }
 }
--- a/src/test/java/dewlane/core/controller/ControllerFencingTest.java
+++ b/src/test/java/dewlane/core/controller/ControllerFencingTest.java
@@ -33,7 +33,7 @@
                 take(Effect.CommitTransaction.class),
                 "a heartbeat without an attempt whose launch may be in flight proves nothing");
 
-        receive(10, new Input.WatchEvents(List.of(), revision));
+        receiveChanges(10, List.of());
         effects.clear();
         receiveHeartbeat(3000, 3, heartbeat(2, 3, FIRST_TOKEN));
         tick(100);
@@ -68,7 +68,7 @@
         List<Input.KeyChange> jobAndSlice = List.of(
                 new Input.KeyChange(StoreKeys.job(JOB), new JobRecord(job(1, 1), List.of(), 0), revision),
                 new Input.KeyChange(StoreKeys.slice(JOB, 0), slice(1, 1, attempt(0, 1)), revision));
-        receive(10, new Input.WatchEvents(jobAndSlice, revision));
+        receiveChanges(10, jobAndSlice);
         effects.clear();
 
         TaskStatus done = new TaskStatus(JOB, 0, 1, Phase.EXITED, ExitReason.DONE, false);
@@ -93,7 +93,7 @@
         receiveHeartbeat(60, 1, heartbeat(1, 1, 0));
         long token = takeFirst(Effect.AnswerHeartbeat.class).fencingToken();
 
-        receive(10, new Input.WatchFailed(true));
+        receive(10, new Input.WatchFailed(watch, true));
         tick(600);
         List<Input.StoreRow> rows = List.of(
                 new Input.StoreRow(StoreKeys.PARTITION_MAP, mapOfOne(), revision),
--- a/src/test/java/dewlane/core/controller/ControllerFixture.java
+++ b/src/test/java/dewlane/core/controller/ControllerFixture.java
@@ -50,6 +50,8 @@
     final List<Effect> effects = new ArrayList<>();
     long now;
     long revision = 10;
+    /** The id of the latest watch that the controller has requested. */
+    long watch;
 
     @BeforeEach
     void join() {
@@ -61,13 +63,11 @@
         Effect.CommitTransaction joining = takeFirst(Effect.CommitTransaction.class);
         revision++;
         receive(5, new Input.TransactionCompleted(joining.id(), Transaction.Status.COMMITTED, revision));
-        receive(
+        receiveChanges(
                 5,
-                new Input.WatchEvents(
-                        List.of(
-                                new Input.KeyChange(StoreKeys.PARTITION_MAP, mapOfOne(), revision),
-                                new Input.KeyChange(StoreKeys.presence("n0"), new Presence(1), revision)),
-                        revision));
+                List.of(
+                        new Input.KeyChange(StoreKeys.PARTITION_MAP, mapOfOne(), revision),
+                        new Input.KeyChange(StoreKeys.presence("n0"), new Presence(1), revision)));
         assertTrue(controller.isReady());
         effects.clear();
     }
@@ -85,7 +85,14 @@
     /** Has the controller handle an input at the given time after the last one. */
     public void receive(long afterMs, Input input) {
         now += afterMs;
-        effects.addAll(controller.handle(now, now, input));
+        List<Effect> emitted = controller.handle(now, now, input);
+        emitted.stream().filter(Effect.Watch.class::isInstance).forEach(effect -> watch = ((Effect.Watch) effect).id());
+        effects.addAll(emitted);
+    }
+
+    /** Has the controller's watch deliver changes up to the latest revision. */
+    public void receiveChanges(long afterMs, List<Input.KeyChange> changes) {
+        receive(afterMs, new Input.WatchEvents(watch, changes, revision));
     }
 
     /** Has the timer fire at the given time after the last input. */
@@ -101,7 +108,7 @@
     /** Has the controller's watch deliver a change of a key. */
     void applyChange(String key, StoredValue value) {
         revision++;
-        receive(60, new Input.WatchEvents(List.of(new Input.KeyChange(key, value, revision)), revision));
+        receiveChanges(60, List.of(new Input.KeyChange(key, value, revision)));
     }
 
     void applyJob(Job job) {
--- a/src/test/java/dewlane/core/controller/ControllerLaunchTest.java
+++ b/src/test/java/dewlane/core/controller/ControllerLaunchTest.java
@@ -72,7 +72,7 @@
         applyChange(StoreKeys.job(JOB), dependency);
         applyChange(StoreKeys.job("wk-2"), dependent);
 
-        receive(10, new Input.WatchFailed(true));
+        receive(10, new Input.WatchFailed(watch, true));
         tick(600);
         List<Input.StoreRow> rows = List.of(
                 new Input.StoreRow(StoreKeys.job("wk-2"), dependent, revision),
--- a/src/test/java/dewlane/core/membership/AuthorityTest.java
+++ b/src/test/java/dewlane/core/membership/AuthorityTest.java
@@ -74,8 +74,8 @@
         receive(40_000, peerStatus(1, false));
         tick(0);
         assertEquals(List.of(Restriction.REPLICA_TOO_OLD.description()), takeLoggedRestrictions());
-        receive(10, new Input.WatchEvents(List.of(), revision()));
-        receive(10, new Input.WatchEvents(List.of(), revision()));
+        receiveChanges(10, List.of());
+        receiveChanges(10, List.of());
         tick(1000);
         assertEquals(List.of(Restriction.NONE.description()), takeLoggedRestrictions());
         receive(10, peerStatus(9, true));
--- /dev/null
+++ b/src/test/java/dewlane/io/StoreClientTest.java
@@ -0,0 +1,104 @@
+package dewlane.io;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import dewlane.core.config.TestSettings;
+import dewlane.core.message.Input;
+import dewlane.core.schema.Transaction;
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Each request to the store has exactly one result, whatever the store answers. */
+class StoreClientTest {
+    private static final long RESULT_TIMEOUT_S = 10;
+
+    private record Answer(int status, String body) {}
+
+    private final LinkedBlockingQueue<Input> results = new LinkedBlockingQueue<>();
+    private final Queue<Answer> answers = new ArrayDeque<>();
+    private Undertow store;
+    private XnioWorker worker;
+    private StoreClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        store = Undertow.builder()
+                .addHttpListener(0, "127.0.0.1")
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .setHandler(this::answer)
+                .build();
+        store.start();
+        int port = ((InetSocketAddress) store.getListenerInfo().get(0).getAddress()).getPort();
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .getMap());
+        client = new StoreClient(
+                worker.getIoThread(),
+                new DefaultByteBufferPool(false, 1024),
+                "127.0.0.1:" + port,
+                TestSettings.singleController(),
+                results::add);
+    }
+
+    private synchronized void answer(HttpServerExchange exchange) {
+        Answer answer = answers.size() > 1 ? answers.poll() : answers.peek();
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseSender().send(answer.body());
+    }
+
+    @AfterEach
+    void stop() {
+        worker.shutdownNow();
+        store.stop();
+    }
+
+    private Input resultOf(Consumer<StoreClient> request) throws InterruptedException {
+        worker.getIoThread().execute(() -> request.accept(client));
+        Input result = results.poll(RESULT_TIMEOUT_S, TimeUnit.SECONDS);
+        assertNotNull(result, "the request has no result");
+        return result;
+    }
+
+    /** Guards against chains of requests that end for ever with an answer that cannot be parsed. */
+    @Test
+    void answersThatAreNotJsonCountAsFailures() throws Exception {
+        answers.add(new Answer(200, "{\"log\":[{"));
+        Transaction transaction = new Transaction.Builder().build();
+        assertEquals(new Input.WatchFailed(7, false), resultOf(store -> store.watch(7, 1)));
+        assertEquals(new Input.StoreListFailed(), resultOf(StoreClient::list));
+        assertEquals(
+                new Input.TransactionCompleted(3, Transaction.Status.UNKNOWN, 0),
+                resultOf(store -> store.commit(3, transaction)));
+        assertEquals(new Input.ValueReadFailed(4), resultOf(store -> store.read(4, "dewlane/final/wk-1")));
+        assertEquals(new Input.LeaseGrantFailed(), resultOf(store -> store.grantLease(1000)));
+        answers.add(new Answer(404, "not JSON"));
+        answers.poll();
+        assertEquals(new Input.RevisionReadFailed(), resultOf(StoreClient::readRevision));
+    }
+
+    /** Guards against retries that hide an outage: nothing has been read yet, so nothing is lost by failing. */
+    @Test
+    void refusedFirstPageFailsTheListing() throws Exception {
+        answers.add(new Answer(503, "{}"));
+        assertEquals(new Input.StoreListFailed(), resultOf(StoreClient::list));
+    }
+}
--- a/src/test/java/dewlane/sim/EffectExecutor.java
+++ b/src/test/java/dewlane/sim/EffectExecutor.java
@@ -75,7 +75,7 @@
                     commit.id(),
                     controller.runsVersion01 ? Version01Schema.write(commit.transaction()) : commit.transaction());
         } else if (effect instanceof Effect.Watch watch) {
-            store.watch(controller, watch.afterRevision());
+            store.watch(controller, watch);
         } else if (effect instanceof Effect.ReadValue read) {
             store.read(controller, read.id(), read.key());
         } else if (effect instanceof Effect.ReadRevision) {
--- a/src/test/java/dewlane/sim/SimStore.java
+++ b/src/test/java/dewlane/sim/SimStore.java
@@ -1,5 +1,6 @@
 package dewlane.sim;
 
+import dewlane.core.message.Effect;
 import dewlane.core.message.Input;
 import dewlane.core.schema.StoreKeys;
 import dewlane.core.schema.StoredValue;
@@ -139,8 +140,8 @@
         request(controller, () -> new Input.RevisionRead(revision), new Input.RevisionReadFailed(), REQUEST_TIMEOUT_MS);
     }
 
-    void watch(SimController controller, long since) {
-        watches.open(controller, since);
+    void watch(SimController controller, Effect.Watch watch) {
+        watches.open(controller, watch);
     }
 
     void grantLease(SimController controller, long ttlMs) {
--- a/src/test/java/dewlane/sim/SimWatches.java
+++ b/src/test/java/dewlane/sim/SimWatches.java
@@ -1,5 +1,6 @@
 package dewlane.sim;
 
+import dewlane.core.message.Effect;
 import dewlane.core.message.Input;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +9,7 @@
  * The watches of the store: each blocks until there are changes after its revision, and is answered with these changes.
  */
 final class SimWatches {
-    private record Watch(SimController controller, int incarnation, long since, long openedAt) {}
+    private record Watch(SimController controller, int incarnation, Effect.Watch request, long openedAt) {}
 
     /** How long a watch blocks without a change, and the caller's timeout. */
     private static final long BLOCK_MS = 1000;
@@ -25,11 +26,11 @@
         this.store = store;
     }
 
-    void open(SimController controller, long since) {
+    void open(SimController controller, Effect.Watch request) {
         int incarnation = controller.incarnation;
         cluster.after(OPEN_DELAY_MS, () -> {
             if (controller.incarnation == incarnation) {
-                Watch watch = new Watch(controller, incarnation, since, cluster.now());
+                Watch watch = new Watch(controller, incarnation, request, cluster.now());
                 watches.add(watch);
                 notifyAllDue();
                 cluster.after(BLOCK_MS, this::notifyAllDue);
@@ -40,7 +41,7 @@
 
     private void failIfOpen(Watch watch) {
         if (watches.remove(watch)) {
-            watch.controller.receive(watch.incarnation, new Input.WatchFailed(false));
+            watch.controller.receive(watch.incarnation, new Input.WatchFailed(watch.request.id(), false));
         }
     }
 
@@ -65,14 +66,16 @@
     }
 
     private boolean isBlocked(Watch watch) {
-        boolean waitsForChanges = watch.since >= store.revision() && cluster.now() - watch.openedAt < BLOCK_MS;
+        boolean waitsForChanges =
+                watch.request.afterRevision() >= store.revision() && cluster.now() - watch.openedAt < BLOCK_MS;
         return store.refusedControllers.contains(watch.controller.name)
                 || !watch.controller.storeReachable()
                 || waitsForChanges;
     }
 
     private void answer(Watch watch) {
-        Input changes = new Input.WatchEvents(store.changesAfter(watch.since), store.revision());
+        Input changes = new Input.WatchEvents(
+                watch.request.id(), store.changesAfter(watch.request.afterRevision()), store.revision());
         cluster.after(
                 cluster.randomBetween(1, 6) + store.watchLagMs,
                 () -> watch.controller.receive(watch.incarnation, changes));
--- a/src/test/java/dewlane/sim/Version01Schema.java
+++ b/src/test/java/dewlane/sim/Version01Schema.java
@@ -29,7 +29,7 @@
                     .map(change ->
                             new Input.KeyChange(change.key(), read(change.key(), change.value()), change.revision()))
                     .toList();
-            return new Input.WatchEvents(read, changes.revision());
+            return new Input.WatchEvents(changes.watch(), read, changes.revision());
         }
         return input;
     }
