/healthz fails while the replica is too old to answer users

Cause: health was judged by the last contact with the store. The renewal of a lease counts as one, but proves nothing about the watch, on which each answer about a job waits.

Change: a controller is healthy only with a replica of at most 4 s, the time that a read waits for it, unless no peer can serve. The status to peers says that the store is reached under the same condition.

Evidence: AuthorityTest.controllerWhoseReplicaDoesNotAdvanceIsUnhealthy failed with the condition taken out of Readiness (expected false, was true), and passes.

--- a/src/main/java/dewlane/core/controller/Controller.java
+++ b/src/main/java/dewlane/core/controller/Controller.java
@@ -83,7 +83,7 @@
 
     /**
      * Returns true if the load balancer should send user requests to this controller: it is ready, and it reaches the
-     * store or no peer does. In a store outage for all controllers this stays true, since no
+     * store and has a current replica, or no peer does. In a store outage for all controllers this stays true, since no
      * other controller would serve users better.
      */
     public boolean isHealthy() {
--- a/src/main/java/dewlane/core/controller/ControllerAssembly.java
+++ b/src/main/java/dewlane/core/controller/ControllerAssembly.java
@@ -55,6 +55,7 @@
     private final StoreReplica replica = new StoreReplica(replicaListeners);
     private final DependencyGraph dependencyGraph = new DependencyGraph();
     private final StoreConnectivity storeConnectivity;
+    private final ReplicaFreshness freshness;
     private final CancellationTracker cancellations;
     private final TransactionQueue transactions;
     private final PeerTable peers;
@@ -78,7 +79,7 @@
         this.context = new ControllerContext(settings, seed);
         this.sizer = sizer;
         storeConnectivity = new StoreConnectivity(context);
-        ReplicaFreshness freshness = new ReplicaFreshness(context);
+        freshness = new ReplicaFreshness(context);
         cancellations = new CancellationTracker(context);
         transactions = new TransactionQueue(context, counters, sizer);
         peers = new PeerTable(context, replica);
@@ -141,7 +142,7 @@
 
     /** Builds the readiness and health checks. */
     Readiness readiness() {
-        return new Readiness(storeWatcher, membership, machines, storeConnectivity, peers);
+        return new Readiness(storeWatcher, membership, machines, storeConnectivity, freshness, peers);
     }
 
     /** Builds the table of handlers of all inputs. */
@@ -185,7 +186,7 @@
 
     private PeriodicTasks periodicTasks() {
         PeerStatusBroadcaster broadcaster =
-                new PeerStatusBroadcaster(context, replica, membership, cancellations, schedulingCycle);
+                new PeerStatusBroadcaster(context, replica, membership, freshness, cancellations, schedulingCycle);
         FailureDetector failureDetector =
                 new FailureDetector(context, replica, machines, membership, transactions, cancellations);
         QuotaTransferPlanner transferPlanner =
--- a/src/main/java/dewlane/core/controller/PeerStatusBroadcaster.java
+++ b/src/main/java/dewlane/core/controller/PeerStatusBroadcaster.java
@@ -8,6 +8,7 @@
 import dewlane.core.model.PeerStatus;
 import dewlane.core.model.PeerStatus.MachineStatus;
 import dewlane.core.scheduling.SchedulingCycle;
+import dewlane.core.store.ReplicaFreshness;
 import dewlane.core.store.StoreReplica;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,7 @@
     private final ControllerContext context;
     private final StoreReplica replica;
     private final Membership membership;
+    private final ReplicaFreshness freshness;
     private final CancellationTracker cancellations;
     private final SchedulingCycle schedulingCycle;
     private long broadcastAtMs = ControllerContext.NEVER_MS;
@@ -35,11 +37,13 @@
             ControllerContext context,
             StoreReplica replica,
             Membership membership,
+            ReplicaFreshness freshness,
             CancellationTracker cancellations,
             SchedulingCycle schedulingCycle) {
         this.context = context;
         this.replica = replica;
         this.membership = membership;
+        this.freshness = freshness;
         this.cancellations = cancellations;
         this.schedulingCycle = schedulingCycle;
     }
@@ -94,7 +98,7 @@
         return new PeerStatus(
                 context.settings().controllerName(),
                 replica.partitionMap().epoch(),
-                membership.isStoreReachable(),
+                membership.isStoreReachable() && freshness.allowsReads(),
                 cancellations.jobsToAnnounce(),
                 machines);
     }
--- a/src/main/java/dewlane/core/controller/Readiness.java
+++ b/src/main/java/dewlane/core/controller/Readiness.java
@@ -3,6 +3,7 @@
 import dewlane.core.fleet.MachineRegistry;
 import dewlane.core.membership.Membership;
 import dewlane.core.membership.PeerTable;
+import dewlane.core.store.ReplicaFreshness;
 import dewlane.core.store.StoreConnectivity;
 import dewlane.core.store.StoreWatcher;
 
@@ -14,6 +15,7 @@
     private final Membership membership;
     private final MachineRegistry machines;
     private final StoreConnectivity storeConnectivity;
+    private final ReplicaFreshness freshness;
     private final PeerTable peers;
 
     Readiness(
@@ -21,11 +23,13 @@
             Membership membership,
             MachineRegistry machines,
             StoreConnectivity storeConnectivity,
+            ReplicaFreshness freshness,
             PeerTable peers) {
         this.storeWatcher = storeWatcher;
         this.membership = membership;
         this.machines = machines;
         this.storeConnectivity = storeConnectivity;
+        this.freshness = freshness;
         this.peers = peers;
     }
 
@@ -38,8 +42,11 @@
 
     /** See {@link Controller#isHealthy()}. */
     boolean isHealthy() {
-        return isReady()
-                && (storeConnectivity.timeSinceLastContactMs() < STORE_CONTACT_TIMEOUT_MS
-                        || !peers.anyPeerReachesStore());
+        return isReady() && (canAnswerUsers() || !peers.anyPeerReachesStore());
+    }
+
+    /** Contact with the store alone proves nothing: requests about jobs also need a replica that advances. */
+    private boolean canAnswerUsers() {
+        return storeConnectivity.timeSinceLastContactMs() < STORE_CONTACT_TIMEOUT_MS && freshness.allowsReads();
     }
 }
--- a/src/main/java/dewlane/core/model/PeerStatus.java
+++ b/src/main/java/dewlane/core/model/PeerStatus.java
@@ -8,7 +8,7 @@
  *
  * @param controller name of the sender
  * @param epoch epoch of the partition map in the sender's replica
- * @param storeReachable true if the sender reaches the store
+ * @param storeReachable true if the sender reaches the store and its replica is current
  * @param cancelledJobs ids of jobs whose cancellation the sender recently confirmed
  * @param machines schedulable machines of the sender's partition, or one page of them
  */
--- a/src/main/java/dewlane/core/store/ReadBarrier.java
+++ b/src/main/java/dewlane/core/store/ReadBarrier.java
@@ -23,7 +23,7 @@
      * A read fails as if the store had not answered if the replica has not reached its revision within this time of its
      * arrival.
      */
-    private static final long TIMEOUT_MS = 4000;
+    static final long TIMEOUT_MS = 4000;
 
     /**
      * A read that waits for the replica, with the actions to run once the replica is current or if it cannot be
--- a/src/main/java/dewlane/core/store/ReplicaFreshness.java
+++ b/src/main/java/dewlane/core/store/ReplicaFreshness.java
@@ -25,6 +25,8 @@
     private static final long MIN_RENEWAL_AGE_MS = 3000;
     /** A launch is not sent or resent if the replica is older than this. */
     private static final long MAX_LAUNCH_AGE_MS = 2500;
+    /** Users' requests wait no longer for the replica to become current; see {@link ReadBarrier}. */
+    private static final long MAX_READ_AGE_MS = ReadBarrier.TIMEOUT_MS;
 
     private final ControllerContext context;
     private final long maxRenewalAgeMs;
@@ -66,6 +68,14 @@
         return ageMs() <= maxRenewalAgeMs;
     }
 
+    /**
+     * Returns true if the replica is fresh enough to answer users' requests. Requests about jobs wait until it is
+     * current, and time out if it does not advance.
+     */
+    public boolean allowsReads() {
+        return ageMs() <= MAX_READ_AGE_MS;
+    }
+
     /** Returns true if the replica is fresh enough to send launches. */
     public boolean allowsLaunch() {
         return ageMs() <= MAX_LAUNCH_AGE_MS;
--- a/src/test/java/dewlane/core/membership/AuthorityTest.java
+++ b/src/test/java/dewlane/core/membership/AuthorityTest.java
@@ -97,6 +97,26 @@
         assertFalse(controller.isHealthy());
     }
 
+    /**
+     * Guards against users being sent to a controller that cannot answer them: its watch has stopped, while the store
+     * answers its other requests.
+     */
+    @Test
+    void controllerWhoseReplicaDoesNotAdvanceIsUnhealthy() {
+        for (int second = 0; second < 5; second++) {
+            receive(1000, new Input.LeaseRenewalCompleted(7, Input.RenewalStatus.RENEWED));
+            receive(10, peerStatus(1, true));
+        }
+        assertFalse(controller.isHealthy());
+        tick(0);
+        assertFalse(
+                take(Effect.BroadcastStatus.class).get(0).pages().get(0).storeReachable(),
+                "peers must not leave their users to this controller");
+        receiveChanges(10, List.of());
+        receiveChanges(10, List.of());
+        assertTrue(controller.isHealthy());
+    }
+
     @Test
     void controllerWithOldReplicaLetsItsWorkersLeasesExpire() {
         receiveHeartbeat(60, 1, heartbeat(1, 1, 0));
