A refused page of a listing is requested again instead of the whole listing

Cause: a controller that starts lists the store in pages of 200 keys, and one refused page discarded those before it. All controllers list at the same time and share the request rate, so with the pages of tens of thousands of jobs a listing may meet a refusal each time, and no question is answered until it ends.

Change: a page after the first is requested again, after 300 ms and up to 20 times in a row.

Evidence: StoreClientTest.refusedPageOfListingIsRequestedAgain (40 pages, four refusals) failed with the retry taken out, and passes.

--- a/src/main/java/dewlane/io/StoreClient.java
+++ b/src/main/java/dewlane/io/StoreClient.java
@@ -36,6 +36,9 @@
     private static final double WATCH_SHARE = 0.25;
 
     private static final long RETRY_DELAY_MS = 300;
+    /** How often a page of a listing is requested again, so that a refusal does not discard the pages before it. */
+    private static final int MAX_PAGE_RETRIES = 20;
+
     private static final int MAX_CALL_CONNECTIONS = 12;
     private static final int MAX_LEASE_CONNECTIONS = 2;
     private static final int MAX_WATCH_CONNECTIONS = 2;
@@ -67,6 +70,7 @@
     private static final class Listing {
         final List<Input.StoreRow> rows = new ArrayList<>();
         long firstRevision;
+        int refusalsOfPage;
     }
 
     private void listPage(Listing listing, String after) {
@@ -74,6 +78,9 @@
         calls.send(Methods.GET, path, null, LIST_TIMEOUT_MS, (status, body) -> {
             if (status == StatusCodes.OK) {
                 onPage(listing, body);
+            } else if (listing.firstRevision != 0 && listing.refusalsOfPage < MAX_PAGE_RETRIES) {
+                listing.refusalsOfPage++;
+                thread.executeAfter(() -> listPage(listing, after), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
             } else {
                 acceptAfter(RETRY_DELAY_MS, new Input.StoreListFailed());
             }
@@ -88,6 +95,7 @@
             return;
         }
         listing.rows.addAll(page.rows());
+        listing.refusalsOfPage = 0;
         listing.firstRevision = listing.firstRevision == 0 ? page.revision() : listing.firstRevision;
         if (page.more() && page.lastKey() != null) {
             listPage(listing, page.lastKey());
--- a/src/test/java/dewlane/io/StoreClientTest.java
+++ b/src/test/java/dewlane/io/StoreClientTest.java
@@ -1,6 +1,7 @@
 package dewlane.io;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import dewlane.core.config.TestSettings;
@@ -15,6 +16,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +29,7 @@
 /** Each request to the store has exactly one result, whatever the store answers. */
 class StoreClientTest {
     private static final long RESULT_TIMEOUT_S = 10;
+    private static final int PAGES = 40;
 
     private record Answer(int status, String body) {}
 
@@ -95,10 +99,39 @@
         assertEquals(new Input.RevisionReadFailed(), resultOf(StoreClient::readRevision));
     }
 
+    /**
+     * Guards against a listing that never ends: with one refusal among the requests for its pages, it began again from
+     * the first one.
+     */
+    @Test
+    void refusedPageOfListingIsRequestedAgain() throws Exception {
+        for (int page = 0; page < PAGES; page++) {
+            answers.add(page(page, page < PAGES - 1));
+            if (page % 10 == 5) {
+                answers.add(new Answer(429, "{}"));
+            }
+        }
+        Input.StoreListed listed = assertInstanceOf(Input.StoreListed.class, resultOf(StoreClient::list));
+        assertEquals(100, listed.revision(), "the revision of the first page");
+        assertEquals(100 + PAGES - 1, listed.latestRevision());
+        assertEquals(
+                IntStream.range(0, PAGES).mapToObj(StoreClientTest::key).toList(),
+                listed.rows().stream().map(Input.StoreRow::key).collect(Collectors.toList()));
+    }
+
     /** Guards against retries that hide an outage: nothing has been read yet, so nothing is lost by failing. */
     @Test
     void refusedFirstPageFailsTheListing() throws Exception {
         answers.add(new Answer(503, "{}"));
         assertEquals(new Input.StoreListFailed(), resultOf(StoreClient::list));
     }
+
+    private static Answer page(int page, boolean more) {
+        String row = "{\"key\":\"" + key(page) + "\",\"value\":{},\"entry\":" + (page + 1) + "}";
+        return new Answer(200, "{\"rows\":[" + row + "],\"more\":" + more + ",\"ledger\":" + (100 + page) + "}");
+    }
+
+    private static String key(int page) {
+        return "dewlane/job/wk-" + (1000 + page);
+    }
 }
