--- a/src/main/java/dewlane/wire/Json.java
+++ b/src/main/java/dewlane/wire/Json.java
@@ -8,7 +8,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.math.BigInteger;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,7 +47,7 @@
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("expected a JSON object");
             }
-            Map<String, Object> read = readFields(in);
+            Map<String, Object> read = readObject(in);
             if (in.nextToken() != null) {
                 throw new IOException("unexpected content after the JSON object");
             }
@@ -53,30 +55,49 @@
         }
     }
 
-    private static Map<String, Object> readFields(JsonParser in) throws IOException {
-        Map<String, Object> map = new HashMap<>();
-        while (in.nextToken() != JsonToken.END_OBJECT) {
-            String name = in.currentName();
-            in.nextToken();
-            map.put(name, value(in));
+    /**
+     * Reads the rest of an object whose start has been read. Objects and arrays that have not ended yet are kept on a
+     * stack of their own, so that the depth of the document does not determine that of the call stack.
+     */
+    private static Map<String, Object> readObject(JsonParser in) throws IOException {
+        Map<String, Object> object = new HashMap<>();
+        Deque<Object> open = new ArrayDeque<>();
+        open.push(object);
+        String name = null;
+        while (!open.isEmpty()) {
+            JsonToken token = in.nextToken();
+            if (token == null) {
+                throw new IOException("truncated JSON");
+            } else if (token == JsonToken.FIELD_NAME) {
+                name = in.currentName();
+            } else if (token.isStructEnd()) {
+                open.pop();
+            } else {
+                Object value = value(in, token);
+                add(open.peek(), name, value);
+                if (token.isStructStart()) {
+                    open.push(value);
+                }
+            }
         }
-        return map;
+        return object;
     }
 
-    private static Object value(JsonParser in) throws IOException {
-        JsonToken token = in.currentToken();
-        if (token == null) {
-            throw new IOException("truncated JSON");
+    /** Adds a value to an array, or to an object under the given name. */
+    @SuppressWarnings("unchecked")
+    private static void add(Object container, String name, Object value) {
+        if (container instanceof List<?> list) {
+            ((List<Object>) list).add(value);
+        } else {
+            ((Map<String, Object>) container).put(name, value);
         }
+    }
+
+    /** Returns the value that the token is or starts; an object or array is still empty. */
+    private static Object value(JsonParser in, JsonToken token) throws IOException {
         return switch (token) {
-            case START_OBJECT -> readFields(in);
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value(in));
-                }
-                yield list;
-            }
+            case START_OBJECT -> new HashMap<String, Object>();
+            case START_ARRAY -> new ArrayList<>();
             case VALUE_STRING -> in.getText();
             case VALUE_NUMBER_INT ->
                 in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
