StoreWatcher: when the store is listed is decided by a class of its own

Need: the watcher had grown by the pauses after failed updates. Change: ListingSchedule holds the listing in flight and the pauses; behaviour stays.

--- a/src/main/java/dewlane/core/store/StoreWatcher.java
+++ b/src/main/java/dewlane/core/store/StoreWatcher.java
@@ -12,10 +12,6 @@
  * the revisions that follow the replica's, it is listed again.
  */
 public final class StoreWatcher {
-    /** The shortest time between the starts of two listings. */
-    private static final long LIST_RETRY_MS = 500;
-    /** After repeated failures to update the replica, the pause before a listing grows up to this power of two. */
-    private static final int MAX_BACKOFF_DOUBLINGS = 6;
     /**
      * The number of ticks after which an unanswered watch is given up. Ticks are counted instead of milliseconds, so
      * that a pause of the process, during which no answer could be read, does not count.
@@ -28,8 +24,7 @@
     private final ReplicaFreshness freshness;
     private final ReadBarrier barrier;
     private final ControllerCounters counters;
-    private boolean listInFlight;
-    private long listRequestedAtMs;
+    private final ListingSchedule listings;
     /** When the watch in flight was requested; its answer includes everything that was durable at that time. */
     private long watchRequestedAtMs;
 
@@ -37,10 +32,6 @@
     private long watchId;
 
     private int ticksSinceWatch;
-    /** The number of updates of the replica that have failed since changes were last applied. */
-    private int failedUpdates;
-
-    private long listNotBeforeMs = ControllerContext.NEVER_MS;
     /** False from the start of an update of the replica until its end, and so after a failed one. */
     private boolean loaded;
     /** The revision that the replica must have reached to be consistent, see {@link #isCaughtUp()}. */
@@ -60,6 +51,7 @@
         this.freshness = freshness;
         this.barrier = barrier;
         this.counters = counters;
+        this.listings = new ListingSchedule(context);
     }
 
     /** Returns true if the store has been listed and is being watched. */
@@ -82,23 +74,16 @@
             context.info("the watch has not been answered, listing the store again");
             loaded = false;
         }
-        if (!loaded && isListingDue()) {
-            listInFlight = true;
-            listRequestedAtMs = context.nowMs();
+        if (!loaded && listings.isDue()) {
+            listings.onRequested();
             context.emit(new Effect.ListStore());
         }
     }
 
-    private boolean isListingDue() {
-        return !listInFlight
-                && context.nowMs() - listRequestedAtMs > LIST_RETRY_MS
-                && context.nowMs() >= listNotBeforeMs;
-    }
-
     /** Called when the store has been listed. */
     public void onListed(Input.StoreListed in) {
         connectivity.onContact();
-        listInFlight = false;
+        listings.onEnded();
         loaded = false;
         // Later pages of the listing may include changes that earlier pages lack. The replica is consistent once the
         // watch has reached the last page's revision.
@@ -107,7 +92,7 @@
             replica.clear();
             loaded = true;
             replica.load(in.rows(), in.revision());
-            freshness.onRefreshed(listRequestedAtMs);
+            freshness.onRefreshed(listings.requestedAtMs());
             barrier.onReplicaAdvanced();
             context.info("read " + replica.jobs().size() + " jobs from the store at revision " + in.revision());
         } finally {
@@ -119,17 +104,15 @@
     private void watchOrListAgain(long revision) {
         if (loaded) {
             watch(revision);
-            return;
+        } else {
+            long pauseMs = listings.onUpdateFailed();
+            context.info("the replica could not be updated, listing the store again in " + pauseMs + " ms");
         }
-        long pauseMs = LIST_RETRY_MS << Math.min(failedUpdates, MAX_BACKOFF_DOUBLINGS);
-        failedUpdates++;
-        listNotBeforeMs = context.nowMs() + pauseMs;
-        context.info("the replica could not be updated, listing the store again in " + pauseMs + " ms");
     }
 
     /** Called when the listing has failed. */
     public void onListFailed() {
-        listInFlight = false;
+        listings.onEnded();
     }
 
     private void watch(long afterRevision) {
@@ -167,7 +150,7 @@
         logProgress(in);
         replica.advance(in.revision());
         if (!in.changes().isEmpty()) {
-            failedUpdates = 0;
+            listings.onChangesApplied();
         }
     }
 
