--- a/src/test/java/dewlane/sim/LongPipelineRecoveryTest.java
+++ b/src/test/java/dewlane/sim/LongPipelineRecoveryTest.java
@@ -29,13 +29,14 @@
 
     /**
      * Guards against a reported fault: after the cancellation of the urgent last job of a long pipeline, controllers
-     * answered no question any more, and not after a restart either.
+     * answered no question any more, and not after a restart either. With odd seeds the first job fails all the time.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void questionsAboutLongPipelineAreAnsweredAfterCancellationAndRestart(long seed) {
         SmallStack.run(() -> {
             SimCluster cluster = cluster(seed, 3);
+            cluster.workers().forEach(worker -> worker.failsTasks = seed % 2 == 1);
             submitInTurn(cluster, 0, SUBMISSION_INTERVAL_MS, pipeline());
             cluster.runFor(JOBS * SUBMISSION_INTERVAL_MS + 10_000);
             assertEquals(JOBS, cluster.users.accepted().size());
