Questions about a pipeline share one search for missing results

What callers would see: after a restart, while the result of a job that ended before is still to be read, each question about a job of the pipeline walks all that it depends on.

Users ask about each job every few seconds.

Change: UndecidedJobs determines the jobs that depend on a missing result once for all questions between two changes of the graph, and follows the dependencies of the jobs asked about at most once between two changes.

--- a/src/main/java/dewlane/core/job/DependencyResolver.java
+++ b/src/main/java/dewlane/core/job/DependencyResolver.java
@@ -4,8 +4,6 @@
 import dewlane.core.schema.StoredValue.JobResult;
 import dewlane.core.store.JobResultReader;
 import dewlane.core.store.StoreReplica;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -25,7 +23,7 @@
 
     private final ControllerContext context;
     private final StoreReplica replica;
-    private final DependencyGraph graph;
+    private final UndecidedJobs undecided;
     private final JobResultReader resultReader;
     private final Set<String> unresolved = new LinkedHashSet<>();
     /** The unresolved jobs that a user's request is waiting for. They are read before the others. */
@@ -38,24 +36,27 @@
             ControllerContext context, StoreReplica replica, DependencyGraph graph, JobResultReader resultReader) {
         this.context = context;
         this.replica = replica;
-        this.graph = graph;
+        this.undecided = new UndecidedJobs(replica, graph);
         this.resultReader = resultReader;
     }
 
     /** Called when the replica holds neither a record nor a result of a dependency. {@link #tick} reads the result. */
     void onMissing(String job) {
         unresolved.add(job);
+        undecided.invalidate();
     }
 
     /** Called when the replica holds a record of the job. The job's result will then arrive through the replica. */
     void onRecordFound(String job) {
         unresolved.remove(job);
+        undecided.invalidate();
     }
 
     /** Stops reading the job's result, because it was found or because no job depends on it any more. */
     void stopResolving(String job) {
         unresolved.remove(job);
         urgent.remove(job);
+        undecided.invalidate();
     }
 
     /**
@@ -81,6 +82,11 @@
         }
     }
 
+    /** Called when jobs were added to the graph or removed from it, or when one of them has a result. */
+    void onGraphChanged() {
+        undecided.invalidate();
+    }
+
     /**
      * Returns true if no result of a direct or transitive dependency is missing, so that it is certain whether the job
      * is cancelled through a dependency. Otherwise the missing results are read before all others.
@@ -89,21 +95,12 @@
         if (unresolved.isEmpty()) {
             return true;
         }
-        boolean resolved = true;
-        Set<String> visited = new HashSet<>();
-        Deque<String> queue = new ArrayDeque<>(graph.unsatisfiedDependencies(job));
-        while (!queue.isEmpty()) {
-            String id = queue.poll();
-            if (!visited.add(id)) {
-                continue;
-            }
-            if (unresolved.contains(id) && replica.activeJob(id) == null) {
-                urgent.add(id);
-                resolved = false;
-            }
-            queue.addAll(graph.unsatisfiedDependencies(id));
+        undecided.update(unresolved);
+        if (!undecided.contains(job)) {
+            return true;
         }
-        return resolved;
+        urgent.addAll(undecided.missingFor(job));
+        return false;
     }
 
     private final class ResultListener implements JobResultReader.Listener {
--- a/src/main/java/dewlane/core/job/DependencyTracker.java
+++ b/src/main/java/dewlane/core/job/DependencyTracker.java
@@ -58,6 +58,7 @@
         resolver.onRecordFound(job.id());
         List<String> dependencies = job.job().dependencies();
         List<String> failed = graph.add(job.id(), dependencies);
+        resolver.onGraphChanged();
         urgency.markChanged(job.id());
         failed.forEach(this::markDependenciesChanged);
         dependencies.forEach(this::onDependency);
@@ -88,6 +89,7 @@
         }
         List<String> dependencies = List.copyOf(graph.allDependencies(id));
         graph.remove(id);
+        resolver.onGraphChanged();
         dependencies.forEach(urgency::markChanged);
         dependencies.forEach(this::stopResolvingIfUnneeded);
     }
@@ -121,6 +123,7 @@
                 .filter(dependent -> !graph.isReady(dependent))
                 .toList();
         graph.recordResult(id, Result.DONE);
+        resolver.onGraphChanged();
         for (String dependent : waiting) {
             if (graph.isReady(dependent)) {
                 eventLog.logReady(dependent, id);
@@ -130,6 +133,7 @@
 
     private void fail(String id) {
         List<String> failedDependents = graph.recordResult(id, Result.FAILED);
+        resolver.onGraphChanged();
         eventLog.logCancelled(failedDependents, id);
         markDependenciesChanged(id);
         failedDependents.forEach(this::markDependenciesChanged);
--- a/src/test/java/dewlane/core/job/LongPipelineTest.java
+++ b/src/test/java/dewlane/core/job/LongPipelineTest.java
@@ -1,6 +1,7 @@
 package dewlane.core.job;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dewlane.core.SmallStack;
@@ -12,6 +13,7 @@
 import dewlane.core.model.Priority;
 import dewlane.core.schema.StoreKeys;
 import dewlane.core.schema.StoredValue.JobRecord;
+import dewlane.core.schema.StoredValue.JobResult;
 import dewlane.core.store.JobEntry;
 import dewlane.core.store.JobResultReader;
 import dewlane.core.store.StoreReplica;
@@ -104,6 +106,27 @@
         });
     }
 
+    /**
+     * Guards against questions that each search the whole pipeline: after a restart the result of a job that ended
+     * before is missing, and users ask about all jobs that depend on it.
+     */
+    @Test
+    void questionsWhileResultIsMissingShareOneSearch() {
+        SmallStack.run(() -> {
+            apply(record(job(1, Priority.IDLE, 0, 0)));
+            for (int i = 2; i < PIPELINE_JOBS; i++) {
+                apply(record(job(i, Priority.IDLE, 0, i - 1)));
+            }
+            for (int i = 1; i < PIPELINE_JOBS; i++) {
+                assertFalse(dependencies.areDependenciesResolved(String.valueOf(i)));
+            }
+            apply(record(job(PIPELINE_JOBS, Priority.IDLE, 0, PIPELINE_JOBS - 1)));
+            assertFalse(dependencies.areDependenciesResolved(String.valueOf(PIPELINE_JOBS)));
+            replica.cacheResult("0", new JobResult(false, 500));
+            assertTrue(dependencies.areDependenciesResolved(String.valueOf(PIPELINE_JOBS)));
+        });
+    }
+
     /** Guards against work that grows with the square of the number of jobs that depend on one cancelled job. */
     @Test
     void cancellationOfJobWithManyDependentsCancelsThem() {
