--- a/src/test/java/dewlane/io/StoreClientTest.java
+++ b/src/test/java/dewlane/io/StoreClientTest.java
@@ -21,9 +21,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** Each request to the store has exactly one result, whatever the store answers. */
@@ -49,12 +46,7 @@
                 .build();
         store.start();
         int port = ((InetSocketAddress) store.getListenerInfo().get(0).getAddress()).getPort();
-        worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, 1)
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                        .getMap());
+        worker = TestWorkers.withOneThread();
         client = new StoreClient(
                 worker.getIoThread(),
                 new DefaultByteBufferPool(false, 1024),
--- a/src/test/java/dewlane/io/WorkerConnectionPoolsTest.java
+++ b/src/test/java/dewlane/io/WorkerConnectionPoolsTest.java
@@ -15,9 +15,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /**
@@ -50,12 +47,7 @@
                 .build();
         machines.start();
         port = ((InetSocketAddress) machines.getListenerInfo().get(0).getAddress()).getPort();
-        worker = Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, 1)
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                        .getMap());
+        worker = TestWorkers.withOneThread();
         pools = new WorkerConnectionPools(worker.getIoThread(), new DefaultByteBufferPool(false, 1024), MAX_POOLS);
     }
 
