--- a/src/main/java/dewlane/core/fleet/CommandChannel.java
+++ b/src/main/java/dewlane/core/fleet/CommandChannel.java
@@ -6,17 +6,16 @@
 import java.util.Set;
 
 /**
- * The commands in flight to one machine: the fencing token that they carry, and the launches that may still arrive
- * there.
+ * The fencing token of the commands to one machine, the launches that were sent with it, and the messages in flight.
  *
- * <p>A launch reaches a worker in one of two ways: in a direct command, of which at most one is in flight, or in the
- * response to a heartbeat, of which the worker awaits at most one. A direct command is answered, or times out and may
- * then still be executed at any later time. By the time the worker sends its next heartbeat, it has either received the
- * response to the previous one or drops it.
+ * <p>A direct command may be lost, arrive late, or be carried out more than once at any later time, whether it was
+ * answered or not; only the worker's fencing token and incarnation end that. A response to a heartbeat is carried out
+ * at most once: by the time the worker sends its next heartbeat, it has either received the response or drops it.
  *
- * <p>Invariant: a worker is told to forget an attempt only with a token that is higher than those of all copies of the
- * attempt's launch that may still arrive. Otherwise such a copy would start the attempt again, although its end is
- * stored and the task may be running elsewhere.
+ * <p>Invariant: a worker is told to forget an attempt only with a token that is higher than those of all launches of
+ * the attempt that were ever sent. Otherwise a copy of one of them would start the attempt again, although its end is
+ * stored and the task may be running elsewhere. The launches of earlier owners and of earlier starts of this controller
+ * had lower tokens than those of the current owner, so only launches with the current token are remembered.
  */
 public final class CommandChannel {
     private static final int FENCE_BITS = 20;
@@ -25,11 +24,11 @@
     private long epoch;
     private int fence;
 
-    /** The launches in the direct command in flight. */
-    private final Set<AttemptId> commandLaunches = new HashSet<>();
-    /** The token of the direct command in flight. */
-    private long commandToken = NO_TOKEN;
+    /** The attempts of which a launch was sent with the current token. */
+    private final Set<AttemptId> launchedWithToken = new HashSet<>();
 
+    private boolean commandInFlight;
+    private boolean commandHasLaunches;
     private long commandSentAtMs;
 
     /** The launches in the response to the latest heartbeat. */
@@ -37,9 +36,6 @@
     /** The token of that response. */
     private long responseToken = NO_TOKEN;
 
-    /** Launches with the current token whose direct command timed out. */
-    private final Set<AttemptId> abandonedLaunches = new HashSet<>();
-
     /**
      * Returns the token of the current owner: the epoch at which it acquired the machine in the upper bits, the
      * machine's own fence counter in the lower {@link #FENCE_BITS}.
@@ -48,6 +44,11 @@
         return (epoch << FENCE_BITS) | fence;
     }
 
+    /** Returns the epoch of the partition map under which the current owner acquired the machine. */
+    public long epoch() {
+        return epoch;
+    }
+
     /**
      * Called when this controller becomes the machine's owner; the token is higher than those of all earlier owners.
      */
@@ -55,7 +56,7 @@
         // The same partition map may be read again; its tokens up to the current fence were already used.
         fence = newEpoch == epoch ? fence + 1 : 0;
         epoch = newEpoch;
-        abandonedLaunches.clear();
+        launchedWithToken.clear();
         responseLaunches.clear();
         responseToken = NO_TOKEN;
     }
@@ -65,26 +66,26 @@
      */
     public void raiseFence() {
         fence++;
-        abandonedLaunches.clear();
+        launchedWithToken.clear();
     }
 
     /** Called when the worker began a new incarnation, in which it executes no launch of an earlier one. */
     public void onNewIncarnation() {
-        commandLaunches.clear();
+        launchedWithToken.clear();
         responseLaunches.clear();
-        abandonedLaunches.clear();
     }
 
     /** Returns true while a direct command is in flight. */
     public boolean isCommandInFlight() {
-        return commandToken != NO_TOKEN;
+        return commandInFlight;
     }
 
     /** Called when a direct command is sent. */
     public void onCommandSent(Set<AttemptId> launches, long nowMs) {
-        commandToken = fencingToken();
+        commandInFlight = true;
+        commandHasLaunches = !launches.isEmpty();
         commandSentAtMs = nowMs;
-        commandLaunches.addAll(launches);
+        launchedWithToken.addAll(launches);
     }
 
     /** Returns the time since the latest direct command was sent. */
@@ -93,25 +94,14 @@
     }
 
     /**
-     * Called when the worker answered the direct command, or when it was never sent: no copy of it can arrive any more.
-     */
-    public void onCommandResolved() {
-        commandToken = NO_TOKEN;
-        commandLaunches.clear();
-    }
-
-    /**
-     * Called when the direct command timed out; the worker may still execute it at any later time.
+     * Called when the direct command was answered, timed out or was never sent. Copies of it may still be carried out
+     * at any later time.
      *
      * @return true if it contained launches
      */
-    public boolean onCommandTimedOut() {
-        boolean hadLaunches = !commandLaunches.isEmpty();
-        if (commandToken == fencingToken()) {
-            abandonedLaunches.addAll(commandLaunches);
-        }
-        onCommandResolved();
-        return hadLaunches;
+    public boolean onCommandCompleted() {
+        commandInFlight = false;
+        return commandHasLaunches;
     }
 
     /** Called when the response to a heartbeat is sent. */
@@ -119,6 +109,7 @@
         responseToken = fencingToken();
         responseLaunches.clear();
         responseLaunches.addAll(launches);
+        launchedWithToken.addAll(launches);
     }
 
     /**
@@ -142,18 +133,10 @@
     }
 
     /**
-     * Returns true if a launch of the attempt is in flight with the current token, in a message whose outcome is still
-     * to be observed.
-     */
-    public boolean isLaunchInFlight(AttemptId attempt) {
-        return (commandToken == fencingToken() && commandLaunches.contains(attempt))
-                || (responseToken == fencingToken() && responseLaunches.contains(attempt));
-    }
-
-    /**
-     * Returns true if a launch of the attempt with the current token was abandoned, so that it may arrive at any time.
+     * Returns true if the attempt may be forgotten with the current token: no launch of it was sent with that token, so
+     * the worker refuses every copy of those that were sent.
      */
-    public boolean isLaunchAbandoned(AttemptId attempt) {
-        return abandonedLaunches.contains(attempt);
+    public boolean mayForget(AttemptId attempt) {
+        return !launchedWithToken.contains(attempt);
     }
 }
--- a/src/main/java/dewlane/core/fleet/CommandHistory.java
+++ b/src/main/java/dewlane/core/fleet/CommandHistory.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,6 +18,10 @@
     private final Map<AttemptId, Double> preemptions = new HashMap<>();
 
     private final Object2LongOpenHashMap<AttemptId> absentSinceMs = new Object2LongOpenHashMap<>();
+    /** Attempts that ran on the machine although the store did not assign them to it. */
+    private final Set<AttemptId> unassigned = new HashSet<>();
+
+    private final DeferredForgets deferredForgets = new DeferredForgets();
 
     /** Called when a command about the attempt is sent. */
     public void onCommandSent(AttemptId id, long nowMs) {
@@ -62,6 +67,16 @@
         return nowMs - absentSinceMs.getLong(id);
     }
 
+    /** Records that the attempt runs although the store does not assign it; returns false if that was recorded. */
+    public boolean addUnassigned(AttemptId id) {
+        return unassigned.add(id);
+    }
+
+    /** Returns the ended attempts that the worker cannot be told to forget yet. */
+    public DeferredForgets deferredForgets() {
+        return deferredForgets;
+    }
+
     /** Called when the store no longer holds the attempt. */
     void onAttemptRemoved(AttemptId id) {
         preemptions.remove(id);
@@ -72,5 +87,7 @@
         lastCommandAtMs.clear();
         preemptions.clear();
         absentSinceMs.clear();
+        unassigned.clear();
+        deferredForgets.clear();
     }
 }
--- a/src/main/java/dewlane/core/fleet/JobProgressTable.java
+++ b/src/main/java/dewlane/core/fleet/JobProgressTable.java
@@ -44,7 +44,7 @@
     public void onLaunchDecided(String job, JobProgress.Launch launch) {
         getOrCreate(job).addLaunch(launch);
         unreconciled.add(job);
-        launch.machine().load().usage().add(launch.spec());
+        launch.machine().load().addUnwrittenLaunch(launch.spec());
         teamUsage.add(launch.spec(), self, 1);
     }
 
@@ -76,7 +76,7 @@
 
     /** Removes the usage that was counted for a launch when it was decided. */
     private void releaseLaunch(JobProgress.Launch launch) {
-        launch.machine().load().usage().remove(launch.spec());
+        launch.machine().load().removeUnwrittenLaunch(launch.spec());
         teamUsage.add(launch.spec(), self, -1);
         launch.machine().load().markIdleIfEmpty(context.nowMs());
     }
--- a/src/main/java/dewlane/core/fleet/Machine.java
+++ b/src/main/java/dewlane/core/fleet/Machine.java
@@ -38,11 +38,13 @@
     private final Set<String> failedJobs = new HashSet<>();
 
     private final MachineLoad load;
+    private final PendingLaunches launches;
 
     Machine(String name, long nowMs) {
         this.name = name;
         this.reachability = new Reachability(nowMs);
         this.load = new MachineLoad(nowMs);
+        this.launches = new PendingLaunches(load, commandChannel, worker);
     }
 
     /** Returns the machine's name. Names are never reused. */
@@ -155,6 +157,11 @@
         return commandChannel;
     }
 
+    /** Returns the launches that the worker has not reported yet. */
+    public PendingLaunches launches() {
+        return launches;
+    }
+
     /** Returns the recent commands about single attempts on the machine. */
     public CommandHistory commands() {
         return commands;
@@ -257,40 +264,18 @@
      * Marks the machine as suspected unreachable: this controller's messages may not reach it, even though its
      * heartbeats arrive here. From now on only the answer to a command, or a heartbeat with a fencing token issued
      * after this moment, proves that it is reachable. A delayed copy of an earlier heartbeat is neither.
+     *
+     * @return true if the fence was raised
      */
-    public void suspect(long nowMs) {
-        if (isAnyLaunchInFlight()) {
+    public boolean suspect(long nowMs) {
+        if (launches.mayAnyArrive()) {
             // A heartbeat can show a newer token only if the fence is raised, which would invalidate the launch in
             // flight.
             reachability.onSuspected(nowMs, Reachability.NO_TOKEN_ENDS_SUSPICION);
-        } else {
-            commandChannel.raiseFence();
-            reachability.onSuspected(nowMs, fencingToken());
+            return false;
         }
-    }
-
-    private boolean isAnyLaunchInFlight() {
-        for (AssignedAttempt assigned : load.attempts()) {
-            if (mayLaunchArrive(assigned)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /**
-     * Returns true if a launch of the attempt may still arrive: the worker would execute it and does not report it yet.
-     */
-    public boolean mayLaunchArrive(AssignedAttempt assigned) {
-        return acceptsLaunch(assigned) && !worker.reports(assigned.id());
-    }
-
-    /**
-     * Returns true if the worker would execute a launch of the attempt: the attempt has the worker's current
-     * incarnation and the machine's current fencing token.
-     */
-    public boolean acceptsLaunch(AssignedAttempt assigned) {
-        return assigned.attempt().fencingToken() == fencingToken()
-                && assigned.attempt().incarnation() == worker.incarnation();
+        commandChannel.raiseFence();
+        reachability.onSuspected(nowMs, fencingToken());
+        return true;
     }
 }
--- a/src/main/java/dewlane/core/fleet/MachineLoad.java
+++ b/src/main/java/dewlane/core/fleet/MachineLoad.java
@@ -15,6 +15,7 @@
     /** Null while nothing is reserved. */
     private ResourceUsage reserved;
 
+    private int unwrittenLaunches;
     private long idleSinceMs;
 
     MachineLoad(long nowMs) {
@@ -49,6 +50,23 @@
         return usage;
     }
 
+    /** Counts a launch that was decided and that the replica does not show yet. */
+    void addUnwrittenLaunch(Job job) {
+        unwrittenLaunches++;
+        usage.add(job);
+    }
+
+    /** Stops counting a launch that the replica shows by now, or that was not written. */
+    void removeUnwrittenLaunch(Job job) {
+        unwrittenLaunches--;
+        usage.remove(job);
+    }
+
+    /** Returns true if a launch on the machine was decided that the replica does not show yet. */
+    boolean hasUnwrittenLaunch() {
+        return unwrittenLaunches > 0;
+    }
+
     /** Returns the number of tasks of the job that fit into the resources that are neither used nor reserved. */
     int capacityFor(MachineType type, Job job) {
         return reserved == null
--- a/src/main/java/dewlane/core/message/ControllerCounters.java
+++ b/src/main/java/dewlane/core/message/ControllerCounters.java
@@ -22,6 +22,11 @@
         counts[counter.ordinal()] += amount;
     }
 
+    /** Sets the counter to the value if that is higher; for a counter that holds a maximum. */
+    public void raiseTo(Counter counter, long value) {
+        counts[counter.ordinal()] = Math.max(get(counter), value);
+    }
+
     /** Returns the current count. */
     public long get(Counter counter) {
         return counts[counter.ordinal()];
--- a/src/main/java/dewlane/core/message/Counter.java
+++ b/src/main/java/dewlane/core/message/Counter.java
@@ -22,10 +22,20 @@
     PROBES("probes"),
     /** Direct commands with launches that timed out without an answer. */
     LAUNCHES_ABANDONED("launches abandoned"),
-    /** Fencing tokens raised to invalidate a launch that is abandoned or in flight. */
-    FENCES_RAISED("fences raised"),
-    /** Forget commands held back because a launch of the same attempt was in flight. */
+    /** Fencing tokens raised because a launch in flight was of a job that was cancelled or had ended. */
+    FENCES_RAISED_FOR_CANCELLATIONS("fences raised for cancellations"),
+    /** Fencing tokens raised so that workers could be told to forget attempts. */
+    FENCES_RAISED_FOR_FORGETS("fences raised for forgets"),
+    /** Fencing tokens raised because a machine became suspected unreachable. */
+    FENCES_RAISED_FOR_SUSPICIONS("fences raised for suspicions"),
+    /** Commands to forget an attempt, repeated ones included. */
+    FORGETS("forgets"),
+    /** Attempts that could not be forgotten at once, as their launch had the current fencing token. */
     FORGETS_DEFERRED("forgets deferred"),
+    /** The longest time for which a command to forget an attempt was deferred, in milliseconds. */
+    LONGEST_FORGET_DEFERRAL_MS("longest forget deferral in ms"),
+    /** Launches in the store that a raised fencing token invalidated before the worker reported them. */
+    LAUNCHES_FENCED_OFF("launches fenced off"),
     /** Times that a machine became suspected unreachable. */
     SUSPICIONS("suspicions"),
     /** Handovers of a slice's tasks to another partition. */
--- a/src/main/java/dewlane/core/scheduling/LaunchPlanner.java
+++ b/src/main/java/dewlane/core/scheduling/LaunchPlanner.java
@@ -1,5 +1,6 @@
 package dewlane.core.scheduling;
 
+import dewlane.core.fleet.ForgetFence;
 import dewlane.core.fleet.MachineRegistry;
 import dewlane.core.message.ControllerContext;
 import dewlane.core.message.ControllerCounters;
@@ -40,7 +41,7 @@
         this.ownership = ownership;
         this.quota = quota;
         this.candidateFinder = new CandidateFinder(context, machines, counters);
-        this.launcher = new SliceLauncher(context, machines);
+        this.launcher = new SliceLauncher(context, machines, new ForgetFence(context, counters));
         this.handover = new SliceHandover(context, partitions, counters);
         this.preemptor = new Preemptor(context, machines, quota);
     }
--- a/src/main/java/dewlane/core/scheduling/MachineSchedulability.java
+++ b/src/main/java/dewlane/core/scheduling/MachineSchedulability.java
@@ -1,5 +1,6 @@
 package dewlane.core.scheduling;
 
+import dewlane.core.fleet.ForgetFence;
 import dewlane.core.fleet.Machine;
 import dewlane.core.fleet.MachineRegistry;
 import dewlane.core.message.ControllerContext;
@@ -38,6 +39,7 @@
                 && machine.reachability()
                         .wasConfirmedWithin(context.nowMs(), context.settings().heartbeatTimeoutMs())
                 && sendsHeartbeats(machine)
+                && !ForgetFence.isOverdue(machine, context)
                 && (machine.failedJobs().isEmpty() || !machines.isFaulty(machine));
     }
 
--- a/src/main/java/dewlane/core/scheduling/SliceLauncher.java
+++ b/src/main/java/dewlane/core/scheduling/SliceLauncher.java
@@ -1,5 +1,6 @@
 package dewlane.core.scheduling;
 
+import dewlane.core.fleet.ForgetFence;
 import dewlane.core.fleet.JobProgress;
 import dewlane.core.fleet.Machine;
 import dewlane.core.fleet.MachineRegistry;
@@ -29,10 +30,12 @@
 
     private final ControllerContext context;
     private final MachineRegistry machines;
+    private final ForgetFence forgetFence;
 
-    SliceLauncher(ControllerContext context, MachineRegistry machines) {
+    SliceLauncher(ControllerContext context, MachineRegistry machines, ForgetFence forgetFence) {
         this.context = context;
         this.machines = machines;
+        this.forgetFence = forgetFence;
     }
 
     /** Launches up to the given number of the slice's pending tasks on the first candidates that have capacity. */
@@ -104,6 +107,9 @@
 
         void launchOn(Machine machine) {
             int fitting = Math.min(remaining, machine.capacityFor(machines.type(machine), job));
+            if (fitting > 0) {
+                forgetFence.raiseBeforeLaunch(machine);
+            }
             for (int i = 0; i < fitting && zones.allows(machine.zone()); i++) {
                 Attempt attempt = nextAttempt(machine);
                 if (!size.fits(attempt, context.settings().maxValueBytes())) {
--- a/src/main/java/dewlane/core/worker/CommandDispatcher.java
+++ b/src/main/java/dewlane/core/worker/CommandDispatcher.java
@@ -55,19 +55,21 @@
     void respond(Machine machine, long requestId) {
         machine.commandChannel().onResponseResolved();
         List<WorkerCommand> commands = planner.planResponse(machine);
-        machine.commandChannel().onResponseSent(launches(commands));
+        machine.commandChannel().onResponseSent(attempts(commands, Action.LAUNCH));
+        counters.add(Counter.FORGETS, attempts(commands, Action.FORGET).size());
         commandLog.onSentInResponse(machine, commands);
         context.emit(new Effect.AnswerHeartbeat(requestId, machine.fencingToken(), commands));
     }
 
-    private static Set<AttemptId> launches(List<WorkerCommand> commands) {
-        Set<AttemptId> launches = new HashSet<>();
+    /** Returns the attempts that commands with the given action are about. */
+    private static Set<AttemptId> attempts(List<WorkerCommand> commands, Action action) {
+        Set<AttemptId> attempts = new HashSet<>();
         for (WorkerCommand command : commands) {
-            if (command.action() == Action.LAUNCH) {
-                launches.add(command.attemptId());
+            if (command.action() == action) {
+                attempts.add(command.attemptId());
             }
         }
-        return launches;
+        return attempts;
     }
 
     /**
@@ -124,7 +126,8 @@
         for (WorkerCommand command : commands) {
             machine.commands().onCommandSent(command.attemptId(), context.nowMs());
         }
-        machine.commandChannel().onCommandSent(launches(commands), context.nowMs());
+        machine.commandChannel().onCommandSent(attempts(commands, Action.LAUNCH), context.nowMs());
+        counters.add(Counter.FORGETS, attempts(commands, Action.FORGET).size());
         commandLog.onSentDirectly(machine, commands);
         context.emit(new Effect.SendCommands(
                 machine.name(), machine.address(), machine.worker().incarnation(), machine.fencingToken(), commands));
@@ -134,9 +137,8 @@
     void onCompleted(Machine machine, Input.CommandCompleted completed) {
         commandLog.onCommandCompleted(machine, completed);
         boolean timedOut = completed.heartbeat() == null && completed.mayHaveBeenSent();
-        if (!timedOut) {
-            machine.commandChannel().onCommandResolved();
-        } else if (machine.commandChannel().onCommandTimedOut()) {
+        boolean hadLaunches = machine.commandChannel().onCommandCompleted();
+        if (timedOut && hadLaunches) {
             counters.increment(Counter.LAUNCHES_ABANDONED);
         }
     }
--- a/src/main/java/dewlane/core/worker/CommandLog.java
+++ b/src/main/java/dewlane/core/worker/CommandLog.java
@@ -65,19 +65,25 @@
     void onForgetDeferred(Machine machine, AttemptId id) {
         if (context.isCommandLoggingEnabled()) {
             context.debug("forget of " + id + " on " + machine.name() + " deferred, " + tokenAndIncarnation(machine)
-                    + ": a launch of it is in flight");
+                    + ": launched with this token");
         }
     }
 
-    /** Called when the fence is raised, so that the worker refuses all launches in flight. */
-    void onFenceRaised(Machine machine, String reason) {
-        if (context.isCommandLoggingEnabled()) {
-            context.debug("fence of " + machine.name() + " raised, " + tokenAndIncarnation(machine) + ": " + reason);
-        }
+    /** Called when the fence is raised because a launch may arrive of a job that was cancelled or has ended. */
+    void onFenceRaisedForEndedJob(Machine machine) {
+        context.info("fence of " + machine.name() + " raised, " + tokenAndIncarnation(machine)
+                + ": a launch in flight is of a job that has ended or is cancelled");
+    }
+
+    /** Called when a worker reports a running attempt that the store does not assign to its machine. */
+    void onUnassignedAttemptRuns(Machine machine, AttemptId id) {
+        context.info(id + " runs on " + machine.name() + ", where the store does not assign it, and is stopped, "
+                + tokenAndIncarnation(machine) + ", replica at revision " + replica.revision());
     }
 
     private static String tokenAndIncarnation(Machine machine) {
-        return "token " + machine.fencingToken() + " incarnation "
+        return "token " + machine.fencingToken() + " of epoch "
+                + machine.commandChannel().epoch() + " incarnation "
                 + machine.worker().incarnation();
     }
 }
--- a/src/main/java/dewlane/core/worker/CommandPlanner.java
+++ b/src/main/java/dewlane/core/worker/CommandPlanner.java
@@ -34,6 +34,8 @@
     private final AuthorityMonitor authority;
     private final AttemptReconciler reconciler;
     private final LaunchFence launchFence;
+    private final ForgetPlanner forgets;
+    private final CommandLog commandLog;
 
     /** Creates a planner that plans from the replica, as far as the controller's authority allows. */
     public CommandPlanner(
@@ -48,7 +50,9 @@
         this.cancellations = cancellations;
         this.authority = authority;
         this.reconciler = new AttemptReconciler(context, replica);
-        this.launchFence = new LaunchFence(cancellations, counters, new CommandLog(context, replica));
+        this.commandLog = new CommandLog(context, replica);
+        this.launchFence = new LaunchFence(cancellations, counters, commandLog);
+        this.forgets = new ForgetPlanner(context, counters, commandLog);
     }
 
     /**
@@ -56,7 +60,9 @@
      * were executed.
      */
     List<WorkerCommand> planResponse(Machine machine) {
-        return plan(machine, true);
+        UnassignedAttempts unassigned = reconciler.unassigned(machine);
+        launchFence.raiseIfForbiddenLaunchMayArrive(machine);
+        return plan(machine, true, unassigned.running(), forgets.planForResponse(machine, unassigned.exited()));
     }
 
     /**
@@ -64,21 +70,24 @@
      * within the resend interval.
      */
     List<WorkerCommand> planDirectCommand(Machine machine) {
-        return plan(machine, false);
+        UnassignedAttempts unassigned = reconciler.unassigned(machine);
+        launchFence.raiseIfForbiddenLaunchMayArrive(machine);
+        return plan(machine, false, unassigned.running(), forgets.planForDirectCommand(machine, unassigned.exited()));
     }
 
-    private List<WorkerCommand> plan(Machine machine, boolean repeat) {
-        UnassignedAttempts unassigned = reconciler.unassigned(machine);
-        launchFence.raiseIfNeeded(machine, unassigned.exited());
-        launchFence.removeDeferred(machine, unassigned.exited());
+    private List<WorkerCommand> plan(
+            Machine machine, boolean repeat, List<AttemptId> toStop, List<AttemptId> toForget) {
         List<WorkerCommand> commands = new ArrayList<>();
         addForAssigned(machine, repeat, commands);
-        for (AttemptId id : unassigned.running()) {
+        for (AttemptId id : toStop) {
+            if (machine.commands().addUnassigned(id)) {
+                commandLog.onUnassignedAttemptRuns(machine, id);
+            }
             if (repeat || isDue(machine, id)) {
                 commands.add(command(Action.STOP, id, NO_GRACE_PERIOD_S));
             }
         }
-        for (AttemptId id : unassigned.exited()) {
+        for (AttemptId id : toForget) {
             commands.add(command(Action.FORGET, id, NO_GRACE_PERIOD_S));
         }
         // The remaining commands follow with the next response.
@@ -127,7 +136,7 @@
      */
     private boolean mayLaunch(Machine machine, AssignedAttempt assigned) {
         return !cancellations.mustNotRun(assigned.job())
-                && machine.acceptsLaunch(assigned)
+                && machine.launches().isAccepted(assigned)
                 && progress.getOrCreate(assigned.job().id()).outcome(assigned.id()) == null;
     }
 
--- a/src/main/java/dewlane/core/worker/FailureAttribution.java
+++ b/src/main/java/dewlane/core/worker/FailureAttribution.java
@@ -40,7 +40,8 @@
         machine.addFailedJob(assigned.job().id());
         JobProgress job = progress.getOrCreate(assigned.job().id());
         job.recordFailure(machine.name(), context.nowMs());
-        context.info("task " + assigned.id().taskName() + " failed on " + machine.name() + " (" + job.failureCount()
+        context.info("task " + assigned.id() + " failed on " + machine.name() + ", launched with token "
+                + assigned.attempt().fencingToken() + " (" + job.failureCount()
                 + " failures of the job, " + machine.failedJobs().size() + " jobs on the machine)");
     }
 }
--- a/src/main/java/dewlane/core/worker/MachineStateUpdater.java
+++ b/src/main/java/dewlane/core/worker/MachineStateUpdater.java
@@ -21,7 +21,7 @@
         this.replica = replica;
         this.machines = machines;
         this.reachability = new ReachabilityAssessment(context, counters);
-        this.outcomes = new OutcomeRecorder(context, machines);
+        this.outcomes = new OutcomeRecorder(context, machines, counters);
     }
 
     /**
--- a/src/main/java/dewlane/core/worker/OutcomeRecorder.java
+++ b/src/main/java/dewlane/core/worker/OutcomeRecorder.java
@@ -5,6 +5,8 @@
 import dewlane.core.fleet.Machine;
 import dewlane.core.fleet.MachineRegistry;
 import dewlane.core.message.ControllerContext;
+import dewlane.core.message.ControllerCounters;
+import dewlane.core.message.Counter;
 import dewlane.core.model.Heartbeat;
 import dewlane.core.model.Heartbeat.Phase;
 import dewlane.core.model.Heartbeat.TaskStatus;
@@ -18,11 +20,13 @@
 final class OutcomeRecorder {
     private final ControllerContext context;
     private final MachineRegistry machines;
+    private final ControllerCounters counters;
     private final FailureAttribution failures;
 
-    OutcomeRecorder(ControllerContext context, MachineRegistry machines) {
+    OutcomeRecorder(ControllerContext context, MachineRegistry machines, ControllerCounters counters) {
         this.context = context;
         this.machines = machines;
+        this.counters = counters;
         this.failures = new FailureAttribution(context, machines.progress());
     }
 
@@ -55,6 +59,10 @@
                 machines.progress().getOrCreate(assigned.job().id()).recordOutcome(assigned, outcome, context.nowMs());
         if (first) {
             machines.onAttemptEnded(machine, assigned);
+            if (outcome == Outcome.GONE
+                    && assigned.attempt().incarnation() == machine.worker().incarnation()) {
+                counters.increment(Counter.LAUNCHES_FENCED_OFF);
+            }
             failures.onAttemptEnded(machine, assigned, outcome);
         }
     }
--- a/src/main/java/dewlane/core/worker/ReachabilityAssessment.java
+++ b/src/main/java/dewlane/core/worker/ReachabilityAssessment.java
@@ -41,7 +41,9 @@
                     + (missedResponse
                             ? "it did not receive the last response"
                             : "no contact within the heartbeat timeout"));
-            machine.suspect(context.nowMs());
+            if (machine.suspect(context.nowMs())) {
+                counters.increment(Counter.FENCES_RAISED_FOR_SUSPICIONS);
+            }
         }
         return false;
     }
--- a/src/test/java/dewlane/core/fleet/ChannelModel.java
+++ b/src/test/java/dewlane/core/fleet/ChannelModel.java
@@ -1,6 +1,9 @@
 package dewlane.core.fleet;
 
-import dewlane.core.model.AttemptId;
+import dewlane.core.fleet.ChannelWorkerModel.CommandMessage;
+import dewlane.core.fleet.ChannelWorkerModel.HeartbeatMessage;
+import dewlane.core.fleet.ChannelWorkerModel.Task;
+import dewlane.core.fleet.ChannelWorkerModel.TaskState;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -21,16 +24,6 @@
  * changed after that.
  */
 final class ChannelModel {
-    /** The attempts, both launched with the first token. */
-    enum Task {
-        ONE,
-        TWO;
-
-        AttemptId id() {
-            return new AttemptId("wk-1", ordinal(), 1);
-        }
-    }
-
     /** The state of an attempt in the store, as the owner has observed it. */
     enum StoredState {
         LIVE,
@@ -38,26 +31,6 @@
         END_DURABLE
     }
 
-    /** The state of an attempt on the worker. */
-    enum WorkerTaskState {
-        NEVER_SEEN,
-        RUNNING,
-        ENDED,
-        FORGOTTEN
-    }
-
-    /** Commands to the worker, sent directly or in a response. */
-    record CommandMessage(long token, Set<Task> launches, Set<Task> forgets) {
-        Set<AttemptId> launchIds() {
-            Set<AttemptId> ids = new HashSet<>();
-            launches.forEach(task -> ids.add(task.id()));
-            return ids;
-        }
-    }
-
-    /** A heartbeat in flight. */
-    record HeartbeatMessage(long sequence, long tokenSeen, Map<Task, WorkerTaskState> tasks) {}
-
     private static final long FIRST_EPOCH = 1;
 
     /** The state from which this one was reached, and the action that led here; null for the first state. */
@@ -68,9 +41,9 @@
     /** The calls on the owner's channel since the beginning. Each model creates its channel by repeating them. */
     private final List<Consumer<CommandChannel>> steps = new ArrayList<>();
 
+    final ChannelWorkerModel worker;
     final Map<Task, StoredState> stored = new EnumMap<>(Task.class);
-    final Map<Task, WorkerTaskState> onWorker = new EnumMap<>(Task.class);
-    final Map<Task, WorkerTaskState> reported = new EnumMap<>(Task.class);
+    final Map<Task, TaskState> reported = new EnumMap<>(Task.class);
     /** The direct commands sent so far whose token the worker may still accept. */
     final Set<CommandMessage> sentCommands = new HashSet<>();
     /** The direct command whose answer the owner awaits, or null. */
@@ -89,17 +62,14 @@
 
     int raisedFences;
     int ownerChanges;
-    boolean launchedAgain;
-    private long tokenSeen;
-    private long sequence;
     private long acceptedSequence;
 
     ChannelModel() {
         previous = null;
         action = "start";
+        worker = new ChannelWorkerModel();
         for (Task task : Task.values()) {
             stored.put(task, StoredState.LIVE);
-            onWorker.put(task, WorkerTaskState.NEVER_SEEN);
         }
         step(channel -> channel.acquire(FIRST_EPOCH));
     }
@@ -107,9 +77,9 @@
     ChannelModel(ChannelModel from, String action) {
         this.previous = from;
         this.action = action;
+        worker = new ChannelWorkerModel(from.worker);
         steps.addAll(from.steps);
         stored.putAll(from.stored);
-        onWorker.putAll(from.onWorker);
         reported.putAll(from.reported);
         sentCommands.addAll(from.sentCommands);
         awaitedCommand = from.awaitedCommand;
@@ -117,8 +87,6 @@
         response = from.response;
         workerAwaitsResponse = from.workerAwaitsResponse;
         delayedHeartbeat = from.delayedHeartbeat;
-        tokenSeen = from.tokenSeen;
-        sequence = from.sequence;
         acceptedSequence = from.acceptedSequence;
         raisedFences = from.raisedFences;
         ownerChanges = from.ownerChanges;
@@ -134,17 +102,15 @@
         steps.add(step);
     }
 
-    /** Returns the attempts of which a direct launch was sent that the worker would accept. */
-    Set<Task> sentLaunches() {
-        return sentCommands.stream()
-                .filter(command -> command.token() >= tokenSeen)
-                .flatMap(command -> command.launches().stream())
-                .collect(Collectors.toSet());
-    }
-
-    /** Drops the commands that the worker refuses from now on, as it has seen a higher token. */
-    void dropRefusedCommands() {
-        sentCommands.removeIf(command -> command.token() < tokenSeen && !command.equals(awaitedCommand));
+    /**
+     * Drops the commands that the worker refuses from now on, as it has seen a higher token.
+     *
+     * @return true if one of them would otherwise launch a task that was forgotten
+     */
+    boolean dropRefusedCommands() {
+        boolean refusesRelaunch = sentCommands.stream().anyMatch(worker::refusesRelaunch);
+        sentCommands.removeIf(command -> command.token() < worker.tokenSeen && !command.equals(awaitedCommand));
+        return refusesRelaunch;
     }
 
     /** Returns the actions that led to this state, one a line. */
@@ -159,52 +125,41 @@
     /** Returns a description of the state. Models with equal descriptions have the same possible continuations. */
     String description() {
         CommandChannel channel = newChannel();
-        CommandChannel withoutCommand = newChannel();
-        withoutCommand.onCommandResolved();
-        CommandChannel withoutAnswer = newChannel();
-        withoutAnswer.onResponseResolved();
         StringBuilder text = new StringBuilder();
-        text.append(stored).append(onWorker).append(reported);
+        text.append(stored).append(worker.tasks).append(reported);
         text.append(sentCommands.stream().map(CommandMessage::toString).sorted().collect(Collectors.joining()))
                 .append(awaitedCommand);
         text.append(describe(heartbeat))
                 .append(response)
                 .append(workerAwaitsResponse)
                 .append(describe(delayedHeartbeat));
-        text.append(tokenSeen).append(' ').append(raisedFences).append(' ').append(channel.fencingToken());
+        text.append(worker.tokenSeen)
+                .append(' ')
+                .append(raisedFences)
+                .append(' ')
+                .append(channel.fencingToken());
         for (Task task : Task.values()) {
-            text.append(channel.isLaunchAbandoned(task.id()))
-                    .append(withoutCommand.isLaunchInFlight(task.id()))
-                    .append(withoutAnswer.isLaunchInFlight(task.id()));
+            text.append(channel.mayForget(task.id()));
         }
         return text.toString();
     }
 
     private String describe(HeartbeatMessage received) {
-        return received == null ? "-" : isNewer(received) + " " + received.tokenSeen + received.tasks;
+        return received == null ? "-" : isNewer(received) + " " + received.tokenSeen() + received.tasks();
     }
 
     private boolean isNewer(HeartbeatMessage received) {
-        return received.sequence > acceptedSequence;
+        return received.sequence() > acceptedSequence;
     }
 
     /**
      * Returns the commands that the planner would send, with the channel's rule for when an attempt may be forgotten.
      */
     CommandMessage planCommands() {
-        Set<Task> launches = EnumSet.noneOf(Task.class);
-        Set<Task> forgets = EnumSet.noneOf(Task.class);
-        for (Task task : Task.values()) {
-            if (stored.get(task) == StoredState.END_DURABLE && reported.get(task) == WorkerTaskState.ENDED) {
-                forgets.add(task);
-            }
-        }
-        CommandChannel beforeFence = newChannel();
-        if (forgets.stream().anyMatch(task -> beforeFence.isLaunchAbandoned(task.id()))) {
-            step(CommandChannel::raiseFence);
-        }
         CommandChannel channel = newChannel();
-        forgets.removeIf(task -> channel.isLaunchInFlight(task.id()));
+        Set<Task> launches = EnumSet.noneOf(Task.class);
+        Set<Task> forgets = endedTasks();
+        forgets.removeIf(task -> !channel.mayForget(task.id()));
         for (Task task : Task.values()) {
             if (channel.fencingToken() == firstToken()
                     && stored.get(task) == StoredState.LIVE
@@ -215,6 +170,23 @@
         return new CommandMessage(channel.fencingToken(), launches, forgets);
     }
 
+    /** Returns the tasks that the worker is to forget, now or later. */
+    private Set<Task> endedTasks() {
+        Set<Task> ended = EnumSet.noneOf(Task.class);
+        for (Task task : Task.values()) {
+            if (stored.get(task) == StoredState.END_DURABLE && reported.get(task) == TaskState.ENDED) {
+                ended.add(task);
+            }
+        }
+        return ended;
+    }
+
+    /** Returns true if a task can be forgotten only after the fence is raised. */
+    boolean isForgetDeferred() {
+        CommandChannel channel = newChannel();
+        return endedTasks().stream().anyMatch(task -> !channel.mayForget(task.id()));
+    }
+
     private static long firstToken() {
         CommandChannel channel = new CommandChannel();
         channel.acquire(FIRST_EPOCH);
@@ -240,46 +212,17 @@
         stored.replaceAll((task, state) -> state == StoredState.END_REPORTED ? StoredState.LIVE : state);
     }
 
-    /** The worker executes commands. A task that they launch runs, or ends at once. */
-    void execute(CommandMessage commands, WorkerTaskState started) {
-        if (commands.token() < tokenSeen) {
-            return;
-        }
-        tokenSeen = commands.token();
-        for (Task task : commands.launches()) {
-            launchedAgain |= onWorker.get(task) == WorkerTaskState.FORGOTTEN;
-            if (onWorker.get(task) == WorkerTaskState.NEVER_SEEN) {
-                onWorker.put(task, started);
-            }
-        }
-        for (Task task : commands.forgets()) {
-            if (onWorker.get(task) == WorkerTaskState.ENDED) {
-                onWorker.put(task, WorkerTaskState.FORGOTTEN);
-            }
-        }
-    }
-
-    HeartbeatMessage nextHeartbeat() {
-        Map<Task, WorkerTaskState> tasks = new EnumMap<>(Task.class);
-        onWorker.forEach((task, state) -> {
-            if (state == WorkerTaskState.RUNNING || state == WorkerTaskState.ENDED) {
-                tasks.put(task, state);
-            }
-        });
-        return new HeartbeatMessage(++sequence, tokenSeen, tasks);
-    }
-
     /** The owner accepts a heartbeat if it is newer than the latest accepted one; returns true if so. */
     boolean accept(HeartbeatMessage received) {
         if (!isNewer(received)) {
             return false;
         }
-        acceptedSequence = received.sequence;
+        acceptedSequence = received.sequence();
         reported.clear();
-        reported.putAll(received.tasks);
+        reported.putAll(received.tasks());
         for (Task task : Task.values()) {
-            boolean ended = received.tasks.get(task) == WorkerTaskState.ENDED;
-            boolean fencedOff = !received.tasks.containsKey(task) && received.tokenSeen > firstToken();
+            boolean ended = received.tasks().get(task) == TaskState.ENDED;
+            boolean fencedOff = !received.tasks().containsKey(task) && received.tokenSeen() > firstToken();
             if (stored.get(task) == StoredState.LIVE && (ended || fencedOff)) {
                 stored.put(task, StoredState.END_REPORTED);
             }
--- a/src/test/java/dewlane/core/fleet/CommandChannelTest.java
+++ b/src/test/java/dewlane/core/fleet/CommandChannelTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewlane.core.fleet.ChannelModel.CommandMessage;
 import dewlane.core.fleet.ChannelModel.StoredState;
-import dewlane.core.fleet.ChannelModel.Task;
-import dewlane.core.fleet.ChannelModel.WorkerTaskState;
+import dewlane.core.fleet.ChannelWorkerModel.CommandMessage;
+import dewlane.core.fleet.ChannelWorkerModel.Task;
+import dewlane.core.fleet.ChannelWorkerModel.TaskState;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
@@ -20,19 +20,20 @@
  * launch would do so if the forget command carried a token that is not above the launch's.
  *
  * <p>Explores every order in which commands, heartbeats and responses of one machine with two attempts can be sent,
- * delivered, delayed, repeated, lost and timed out, with one change of the owner and one fence raised by a suspicion.
- * Every direct command that was sent may be carried out again at any later time, answered or not.
+ * delivered, delayed, repeated, lost and timed out, with one change of the owner and one fence raised by a suspicion;
+ * the owner may raise the fence whenever a forget is deferred, or not. Every direct command that was sent may be
+ * carried out again at any later time, answered or not.
  */
 class CommandChannelTest {
     private static final int MAX_RAISED_FENCES = 1;
     private static final int MAX_OWNER_CHANGES = 1;
     /** What a launch may lead to: the task runs, or it is refused or fails at once. */
-    private static final List<WorkerTaskState> STARTED = List.of(WorkerTaskState.RUNNING, WorkerTaskState.ENDED);
+    private static final List<TaskState> STARTED = List.of(TaskState.RUNNING, TaskState.ENDED);
 
     private final Set<String> visited = new HashSet<>();
     private final Deque<ChannelModel> pending = new ArrayDeque<>();
     private int bothForgotten;
-    private int launchesAfterForget;
+    private int refusedRelaunches;
     private int actions;
 
     @Test
@@ -42,10 +43,10 @@
             expand(pending.poll());
         }
         System.out.println("message interleavings of one machine with two attempts: " + visited.size() + " states by "
-                + actions + " actions, in " + launchesAfterForget
-                + " a launch may arrive of an attempt that was forgotten");
+                + actions + " actions, in " + refusedRelaunches
+                + " the worker refuses a launch of an attempt that it has forgotten");
         assertTrue(bothForgotten > 0, "both attempts can end and be forgotten");
-        assertTrue(launchesAfterForget > 0, "launches arrive after their attempt was forgotten");
+        assertTrue(refusedRelaunches > 0, "launches of forgotten attempts are refused");
     }
 
     /** Adds the model that results from an action on another model. */
@@ -57,24 +58,19 @@
 
     private void add(ChannelModel model) {
         actions++;
-        assertFalse(model.launchedAgain, () -> "an attempt was launched again:\n" + model.trace());
-        model.dropRefusedCommands();
+        assertFalse(model.worker.launchedAgain, () -> "an attempt was launched again:\n" + model.trace());
+        boolean refusesRelaunch = model.dropRefusedCommands();
         if (visited.add(model.description())) {
             pending.add(model);
-            count(model);
+            boolean allForgotten = model.worker.tasks.values().stream().allMatch(state -> state == TaskState.FORGOTTEN);
+            bothForgotten += allForgotten ? 1 : 0;
+            refusedRelaunches += refusesRelaunch ? 1 : 0;
         }
     }
 
-    private void count(ChannelModel model) {
-        bothForgotten += model.onWorker.values().stream().allMatch(state -> state == WorkerTaskState.FORGOTTEN) ? 1 : 0;
-        boolean launchAfterForget =
-                model.sentLaunches().stream().anyMatch(task -> model.onWorker.get(task) == WorkerTaskState.FORGOTTEN);
-        launchesAfterForget += launchAfterForget ? 1 : 0;
-    }
-
     private void expand(ChannelModel model) {
         sendCommand(model);
-        for (WorkerTaskState started : STARTED) {
+        for (TaskState started : STARTED) {
             for (CommandMessage command : model.sentCommands) {
                 deliverCommand(model, command, started);
             }
@@ -86,7 +82,8 @@
         receiveHeartbeat(model);
         receiveDelayedHeartbeat(model);
         timeOutResponse(model);
-        raiseFence(model);
+        raiseFenceForSuspicion(model);
+        raiseFenceForForget(model);
         changeOwner(model);
         for (Task task : Task.values()) {
             endTaskOnWorker(model, task);
@@ -108,23 +105,23 @@
     }
 
     /** A command arrives, for the first time or again, in time or late. No answer reaches the owner. */
-    private void deliverCommand(ChannelModel model, CommandMessage command, WorkerTaskState started) {
+    private void deliverCommand(ChannelModel model, CommandMessage command, TaskState started) {
         branch(model, "the worker executes " + command + ", started tasks: " + started, next -> {
-            next.execute(command, started);
+            next.worker.execute(command, started);
         });
     }
 
     /** The awaited command arrives, and the owner receives the answer. */
-    private void deliverAwaitedCommandAndAnswer(ChannelModel model, WorkerTaskState started) {
+    private void deliverAwaitedCommandAndAnswer(ChannelModel model, TaskState started) {
         CommandMessage command = model.awaitedCommand;
         if (command == null) {
             return;
         }
         branch(model, "the worker executes and answers " + command + ", started tasks: " + started, next -> {
-            next.execute(command, started);
+            next.worker.execute(command, started);
             next.awaitedCommand = null;
-            next.step(CommandChannel::onCommandResolved);
-            next.accept(next.nextHeartbeat());
+            next.step(CommandChannel::onCommandCompleted);
+            next.accept(next.worker.nextHeartbeat());
         });
     }
 
@@ -132,7 +129,7 @@
         if (model.awaitedCommand != null) {
             branch(model, "the command times out", next -> {
                 next.awaitedCommand = null;
-                next.step(CommandChannel::onCommandTimedOut);
+                next.step(CommandChannel::onCommandCompleted);
             });
         }
     }
@@ -141,7 +138,7 @@
         if (!model.workerAwaitsResponse) {
             branch(model, "the worker sends a heartbeat", next -> {
                 next.workerAwaitsResponse = true;
-                next.heartbeat = next.nextHeartbeat();
+                next.heartbeat = next.worker.nextHeartbeat();
             });
         }
     }
@@ -165,12 +162,12 @@
         }
     }
 
-    private void deliverResponse(ChannelModel model, WorkerTaskState started) {
+    private void deliverResponse(ChannelModel model, TaskState started) {
         if (model.response != null) {
             branch(model, "the worker executes the response " + model.response, next -> {
                 next.response = null;
                 next.workerAwaitsResponse = false;
-                next.execute(model.response, started);
+                next.worker.execute(model.response, started);
             });
         }
     }
@@ -187,10 +184,16 @@
         }
     }
 
-    /** Raises the fence, as happens when the machine is suspected unreachable. */
-    private void raiseFence(ChannelModel model) {
+    /** Whenever a forget is deferred, the owner may raise the fence. */
+    private void raiseFenceForForget(ChannelModel model) {
+        if (model.isForgetDeferred()) {
+            branch(model, "the fence is raised for a forget", next -> next.step(CommandChannel::raiseFence));
+        }
+    }
+
+    private void raiseFenceForSuspicion(ChannelModel model) {
         if (model.raisedFences < MAX_RAISED_FENCES) {
-            branch(model, "the fence is raised", next -> {
+            branch(model, "the fence is raised for a suspicion", next -> {
                 next.raisedFences++;
                 next.step(CommandChannel::raiseFence);
             });
@@ -204,8 +207,8 @@
     }
 
     private void endTaskOnWorker(ChannelModel model, Task task) {
-        if (model.onWorker.get(task) == WorkerTaskState.RUNNING) {
-            branch(model, "task " + task + " ends", next -> next.onWorker.put(task, WorkerTaskState.ENDED));
+        if (model.worker.tasks.get(task) == TaskState.RUNNING) {
+            branch(model, "task " + task + " ends", next -> next.worker.tasks.put(task, TaskState.ENDED));
         }
     }
 
--- a/src/test/java/dewlane/sim/AnswerConsistencyTest.java
+++ b/src/test/java/dewlane/sim/AnswerConsistencyTest.java
@@ -82,7 +82,7 @@
     @ValueSource(longs = {1, 2, 3})
     void pollsOfJobsWhoseTransactionRepliesAreLostReturnNoEarlierState(long seed) {
         SimCluster cluster = cluster(seed, 6);
-        cluster.store.lostReplyRate = 0.4;
+        cluster.store.writes.lostReplyRate = 0.4;
         for (int i = 1; i <= 16; i++) {
             Job job = job(i, 3, 1, 3);
             cluster.after(800L * i, () -> cluster.users.submit(job));
@@ -98,9 +98,9 @@
             }
         }
         cluster.runUntil(40_000);
-        assertTrue(cluster.store.lostReplies > 15, cluster.store.lostReplies + " replies lost");
+        assertTrue(cluster.store.writes.lostReplies > 15, cluster.store.writes.lostReplies + " replies lost");
 
-        cluster.store.lostReplyRate = 0;
+        cluster.store.writes.lostReplyRate = 0;
 
         assertRecovers(cluster, 120_000);
     }
--- a/src/test/java/dewlane/sim/ControllerFailoverTest.java
+++ b/src/test/java/dewlane/sim/ControllerFailoverTest.java
@@ -216,7 +216,7 @@
         SimCluster cluster = cluster(seed, 1);
         cluster.cloud.minBootMs = 500;
         cluster.cloud.maxBootMs = 2000;
-        cluster.store.delayedWriteRate = 0.3;
+        cluster.store.writes.delayRate = 0.3;
         submitInTurn(cluster, 600, 600, jobs(1, 8, i -> job(i, 6, 2, 15)));
         SimController first = leader(cluster);
         cluster.after(7000, () -> first.crash(4000));
@@ -226,8 +226,8 @@
         assertTrue(machines > 3, machines + " machines");
         assertNotEquals(first, leader(cluster), "another controller leads");
         cluster.runUntil(40_000);
-        assertTrue(cluster.store.delayedWrites > 5, cluster.store.delayedWrites + " writes were delayed");
-        cluster.store.delayedWriteRate = 0;
+        assertTrue(cluster.store.writes.delayed > 5, cluster.store.writes.delayed + " writes were delayed");
+        cluster.store.writes.delayRate = 0;
 
         assertRecovers(cluster, 300_000);
     }
--- a/src/test/java/dewlane/sim/MessageDelayTest.java
+++ b/src/test/java/dewlane/sim/MessageDelayTest.java
@@ -118,19 +118,19 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void unansweredTransactionsExecutedAfterNewerOnesHarmNothing(long seed) {
         SimCluster cluster = cluster(seed, 8);
-        cluster.store.delayedWriteRate = 0.4;
+        cluster.store.writes.delayRate = 0.4;
         submitInTurnAndCancelEachThird(
                 cluster, 2000, jobs(1, 14, i -> job(i, Priority.values()[i % 4], 6, 1 + i % 2, 6)), 4000);
         cluster.after(12_000, () -> leader(cluster).crash(3000));
         cluster.runUntil(50_000);
 
-        int delayed = cluster.store.delayedWrites;
-        int committed = cluster.store.delayedWritesCommitted;
+        int delayed = cluster.store.writes.delayed;
+        int committed = cluster.store.writes.delayedCommitted;
         assertTrue(delayed > 20, delayed + " transactions were delayed");
         assertTrue(
                 committed > 0 && committed < delayed,
                 committed + " of " + delayed + " delayed transactions were committed");
-        cluster.store.delayedWriteRate = 0;
+        cluster.store.writes.delayRate = 0;
 
         assertRecovers(cluster, 300_000);
     }
--- a/src/test/java/dewlane/sim/RandomFaultsTest.java
+++ b/src/test/java/dewlane/sim/RandomFaultsTest.java
@@ -24,6 +24,8 @@
     private static final long MAX_FAULT_MS = 60_000;
 
     private static final double DEPENDENCY_RATE = 0.4;
+    /** The share of the requests that were carried out of which a copy arrives again, at once or minutes later. */
+    private static final double REPEAT_RATE = 0.05;
 
     /** The store's lower limits, which apply from some time after an upgrade. */
     private static final StoreLimits SHRINKING_LIMITS =
@@ -59,6 +61,7 @@
      */
     private static SimCluster run(long seed, int controllers, SimCluster.DisabledCheck disabledCheck, boolean upgrade) {
         SimCluster cluster = new SimCluster(seed, settings(controllers, upgrade), disabledCheck);
+        cluster.repeats.rate = REPEAT_RATE;
         RandomWorkload workload = new RandomWorkload(cluster);
         workload.dependencyRate = upgrade ? 0 : DEPENDENCY_RATE;
         startAtRandomTimes(cluster, upgrade);
@@ -114,9 +117,10 @@
     private static void endFaults(SimCluster cluster) {
         cluster.messageFaultRate = 0;
         cluster.store.extraLatencyMs = 0;
-        cluster.store.delayedWriteRate = 0;
+        cluster.store.writes.delayRate = 0;
         cluster.users.cancelOnCompletionRate = 0;
         cluster.commands.delayRate = 0;
+        cluster.repeats.rate = 0;
     }
 
     @ParameterizedTest
--- a/src/test/java/dewlane/sim/SimCloud.java
+++ b/src/test/java/dewlane/sim/SimCloud.java
@@ -76,7 +76,16 @@
 
     void createInstances(SimController controller, Effect.CreateInstances request) {
         Input unknown = new Input.InstancesCreated(request.requestId(), Input.CreateStatus.UNKNOWN, List.of());
-        controller.request(() -> true, () -> unavailable ? unknown : createOnce(request), unknown, REQUEST_TIMEOUT_MS);
+        controller.request(
+                () -> true, () -> unavailable ? unknown : createWithRepeats(request), unknown, REQUEST_TIMEOUT_MS);
+    }
+
+    private Input createWithRepeats(Effect.CreateInstances request) {
+        Input result = createOnce(request);
+        if (completedRequests.containsKey(request.requestId())) {
+            cluster.repeats.onCarriedOut(() -> createOnce(request));
+        }
+        return result;
     }
 
     private Input createOnce(Effect.CreateInstances request) {
@@ -113,6 +122,7 @@
                         return new Input.InstancesDeleted(names, false);
                     }
                     names.forEach(this::delete);
+                    cluster.repeats.onCarriedOut(() -> names.forEach(this::delete));
                     return new Input.InstancesDeleted(names, true);
                 },
                 new Input.InstancesDeleted(names, false),
--- a/src/test/java/dewlane/sim/SimController.java
+++ b/src/test/java/dewlane/sim/SimController.java
@@ -230,8 +230,11 @@
         for (SimController peer : cluster.controllers.values()) {
             int recipientIncarnation = peer.incarnation;
             if (peer != this && !disconnectedFromPeers && !peer.disconnectedFromPeers) {
-                pages.forEach(page ->
-                        cluster.deliver(() -> peer.receive(recipientIncarnation, new Input.PeerStatusReceived(page))));
+                pages.forEach(page -> cluster.deliver(() -> {
+                    peer.receive(recipientIncarnation, new Input.PeerStatusReceived(page));
+                    cluster.repeats.onCarriedOut(
+                            () -> peer.receive(peer.incarnation, new Input.PeerStatusReceived(page)));
+                }));
             }
         }
     }
--- a/src/test/java/dewlane/sim/SimHeartbeats.java
+++ b/src/test/java/dewlane/sim/SimHeartbeats.java
@@ -41,6 +41,10 @@
         target = null;
     }
 
+    void resetSequence() {
+        sequence = 0;
+    }
+
     /** Sends the next heartbeat soon, since something has changed on the worker. */
     void sendSoon() {
         nextAt = Math.min(nextAt, cluster.now() + MAX_DELAY_AFTER_CHANGE_MS);
--- a/src/test/java/dewlane/sim/SimStore.java
+++ b/src/test/java/dewlane/sim/SimStore.java
@@ -16,17 +16,15 @@
 
 /**
  * The simulated store: conditional transactions, reads, leases and watches. Faults are outages, refusal of single
- * controllers, delayed writes and lost replies.
+ * controllers, and those of {@link SimStoreWrites}.
  */
 final class SimStore {
     private record VersionedValue(StoredValue value, long version, long lease) {}
 
     private static final long LIST_TIMEOUT_MS = 3000;
-    private static final long REQUEST_TIMEOUT_MS = 1500;
+    static final long REQUEST_TIMEOUT_MS = 1500;
     private static final long RENEWAL_TIMEOUT_MS = 1000;
     private static final long LEASE_CHECK_INTERVAL_MS = 50;
-    private static final int MIN_WRITE_DELAY_MS = 2000;
-    private static final int MAX_WRITE_DELAY_MS = 12_000;
 
     private final SimCluster cluster;
     private final TreeMap<String, VersionedValue> keys = new TreeMap<>();
@@ -37,6 +35,7 @@
     private final SimTokenBucket requestBucket = new SimTokenBucket();
     final SimStoreLimits limits;
     final SimStoreUsage usage = new SimStoreUsage();
+    final SimStoreWrites writes;
     private long revision;
 
     final Set<String> refusedControllers = new HashSet<>();
@@ -45,23 +44,13 @@
     int watchLagMs;
     /** The highest additional delay of a reply. */
     int extraLatencyMs;
-    /** The share of transactions that get no reply and are executed seconds later, after newer ones. */
-    double delayedWriteRate;
-    /** The share of transactions that are executed at once, but whose reply is lost. */
-    double lostReplyRate;
-
-    /** Committed transactions whose reply was lost. */
-    int lostReplies;
-    /** Transactions executed late, and how many of them were committed. */
-    int delayedWrites;
-
-    int delayedWritesCommitted;
 
     SimStore(SimCluster cluster) {
         this.cluster = cluster;
         this.limits = new SimStoreLimits(cluster);
         this.leases = new SimLeases(cluster);
         this.watches = new SimWatches(cluster, this);
+        this.writes = new SimStoreWrites(cluster, this);
         cluster.every(LEASE_CHECK_INTERVAL_MS, this::expireLeases);
     }
 
@@ -92,7 +81,7 @@
         return log.stream().filter(change -> change.revision() > since).toList();
     }
 
-    private boolean accepts(SimController controller) {
+    boolean accepts(SimController controller) {
         return !unavailable && !refusedControllers.contains(controller.name);
     }
 
@@ -147,7 +136,10 @@
     void grantLease(SimController controller, long ttlMs) {
         request(
                 controller,
-                () -> new Input.LeaseGranted(leases.grant(ttlMs)),
+                () -> {
+                    cluster.repeats.onCarriedOut(() -> leases.grant(ttlMs));
+                    return new Input.LeaseGranted(leases.grant(ttlMs));
+                },
                 new Input.LeaseGrantFailed(),
                 REQUEST_TIMEOUT_MS);
     }
@@ -157,6 +149,7 @@
                 controller,
                 () -> {
                     boolean renewed = leases.renew(lease, ttlMs);
+                    cluster.repeats.onCarriedOut(() -> leases.renew(lease, ttlMs));
                     return new Input.LeaseRenewalCompleted(
                             lease, renewed ? Input.RenewalStatus.RENEWED : Input.RenewalStatus.EXPIRED);
                 },
@@ -166,52 +159,17 @@
 
     void commit(SimController controller, long id, Transaction transaction) {
         limits.check(controller, transaction);
-        if (delayedWriteRate > 0 && cluster.chance(delayedWriteRate) && controller.storeReachable()) {
-            commitDelayed(id, transaction);
-            receiveUnknownResult(controller, id);
-        } else if (lostReplyRate > 0 && cluster.chance(lostReplyRate) && controller.storeReachable()) {
-            commitWithoutReply(controller, id, transaction);
-            receiveUnknownResult(controller, id);
-        } else {
-            controller.requestStore(
-                    () -> accepts(controller) && withinRequestRate()
-                            ? apply(id, transaction)
-                            : new Input.TransactionCompleted(id, Transaction.Status.UNAVAILABLE, 0),
-                    new Input.TransactionCompleted(id, Transaction.Status.UNKNOWN, 0),
-                    REQUEST_TIMEOUT_MS);
-        }
-    }
-
-    private void commitDelayed(long id, Transaction transaction) {
-        cluster.after(cluster.randomBetween(MIN_WRITE_DELAY_MS, MAX_WRITE_DELAY_MS), () -> {
-            if (!unavailable) {
-                delayedWrites++;
-                delayedWritesCommitted += isCommitted(apply(id, transaction)) ? 1 : 0;
-            }
-        });
-    }
-
-    private void commitWithoutReply(SimController controller, long id, Transaction transaction) {
-        cluster.deliver(() -> {
-            if (accepts(controller)) {
-                lostReplies += isCommitted(apply(id, transaction)) ? 1 : 0;
-            }
-        });
-    }
-
-    private void receiveUnknownResult(SimController controller, long id) {
-        int senderIncarnation = controller.incarnation;
-        cluster.after(
-                REQUEST_TIMEOUT_MS,
-                () -> controller.receive(
-                        senderIncarnation, new Input.TransactionCompleted(id, Transaction.Status.UNKNOWN, 0)));
+        writes.commit(controller, id, transaction);
     }
 
-    private static boolean isCommitted(Input.TransactionCompleted result) {
-        return result.status() == Transaction.Status.COMMITTED;
+    /** Applies a transaction if the store accepts requests of the controller. */
+    Input.TransactionCompleted applyIfAccepted(SimController controller, long id, Transaction transaction) {
+        return accepts(controller) && withinRequestRate()
+                ? apply(id, transaction)
+                : new Input.TransactionCompleted(id, Transaction.Status.UNAVAILABLE, 0);
     }
 
-    private Input.TransactionCompleted apply(long id, Transaction transaction) {
+    Input.TransactionCompleted apply(long id, Transaction transaction) {
         if (!writeBucket.take(transaction.writes().size(), limits.current().writesPerS(), cluster.now())) {
             return new Input.TransactionCompleted(id, Transaction.Status.RATE_LIMITED, 0);
         }
--- a/src/test/java/dewlane/sim/SimTaskExecutor.java
+++ b/src/test/java/dewlane/sim/SimTaskExecutor.java
@@ -5,6 +5,7 @@
 import dewlane.core.model.Job;
 import dewlane.core.model.WorkerCommand;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,6 +24,8 @@
     /** Attempts forgotten by command in this incarnation. A delayed launch command must not start them again. */
     private final Set<String> forgotten = new HashSet<>();
 
+    /** How many attempts were forgotten that had ended for each reason. */
+    final Map<ExitReason, Integer> forgottenByReason = new EnumMap<>(ExitReason.class);
     /** Launches of forgotten attempts that were refused for their token. */
     int refusedRelaunches;
     /** Attempts forgotten while a command that launches them was still in flight. */
@@ -116,7 +119,7 @@
             }
             case FORGET -> {
                 if (attempt != null && attempt.hasExited()) {
-                    forget(command, key);
+                    forget(command, key, attempt.end);
                 }
             }
         }
@@ -144,7 +147,7 @@
         boolean busy = attempts.values().stream()
                 .anyMatch(
                         other -> !other.hasExited() && other.job.equals(command.job()) && other.task == command.task());
-        boolean fits = fits(cluster.users.job(command.job()));
+        boolean fits = !worker.refusesTasks && fits(cluster.users.job(command.job()));
         attempts.put(key, attempt);
         if (busy) {
             attempt.exit(ExitReason.BUSY);
@@ -166,7 +169,8 @@
         }
     }
 
-    private void forget(WorkerCommand command, String key) {
+    private void forget(WorkerCommand command, String key, ExitReason reason) {
+        forgottenByReason.merge(reason, 1, Integer::sum);
         attempts.remove(key);
         forgotten.add(key);
         forgottenBeforeDelayedLaunch += cluster.commands.hasLaunchInFlight(worker.name, command) ? 1 : 0;
--- a/src/test/java/dewlane/sim/SimUsers.java
+++ b/src/test/java/dewlane/sim/SimUsers.java
@@ -104,7 +104,20 @@
             BiConsumer<SimController, Consumer<Effect.AnswerUser>> request,
             Consumer<Effect.AnswerUser> onReply) {
         if (controller != null) {
-            cluster.deliver(() -> request.accept(controller, answer -> cluster.deliver(() -> onReply.accept(answer))));
+            cluster.deliver(() -> request.accept(controller, answer -> {
+                if (answer.status() < 300) {
+                    cluster.repeats.onCarriedOut(() -> repeat(request));
+                }
+                cluster.deliver(() -> onReply.accept(answer));
+            }));
+        }
+    }
+
+    /** A copy of a request reaches a random controller; nobody awaits the answer. */
+    private void repeat(BiConsumer<SimController, Consumer<Effect.AnswerUser>> request) {
+        SimController controller = randomLiveController();
+        if (controller != null) {
+            request.accept(controller, answer -> {});
         }
     }
 
--- a/src/test/java/dewlane/sim/SimWorker.java
+++ b/src/test/java/dewlane/sim/SimWorker.java
@@ -31,6 +31,8 @@
     boolean booted;
     /** Every task that starts here fails at once. */
     boolean failsTasks;
+    /** Every launch is refused for lack of room. */
+    boolean refusesTasks;
     /** No message passes between the machine and any controller. */
     boolean disconnected;
     /** Its heartbeats arrive, but replies and commands do not reach it. */
@@ -157,6 +159,15 @@
         heartbeats.sendIfDue();
     }
 
+    /** Restarts the worker without its tasks, its incarnation and the highest token that it has seen. */
+    void restartWithoutState() {
+        executor.reset();
+        heartbeats.resetSequence();
+        incarnation = 1;
+        fencingToken = 0;
+        leaseStart = cluster.now();
+    }
+
     private void beginNewIncarnation() {
         executor.reset();
         incarnation++;
--- a/src/test/java/dewlane/sim/StoreFaults.java
+++ b/src/test/java/dewlane/sim/StoreFaults.java
@@ -23,8 +23,8 @@
 
     static void delayWrites(FaultTarget target) {
         SimStore store = target.cluster().store;
-        store.delayedWriteRate = 0.3;
-        target.afterRandomDelay(5000, 25_000, () -> store.delayedWriteRate = 0);
+        store.writes.delayRate = 0.3;
+        target.afterRandomDelay(5000, 25_000, () -> store.writes.delayRate = 0);
     }
 
     /**
