A fence is never raised into the tokens of another epoch

Cause: a token is `epoch << 20 | fence`, and nothing bounded the fence. After 2^20 raises under one epoch the token fell back to an earlier one of the epoch, or became one of the next, so that a repeated launch would be accepted again.

Change: the highest token of an epoch is kept, with the launches sent under it. The last 65,536 are not spent on forgets: such a machine's forgets become overdue, it gets no further launches and is scaled in once idle.

--- a/src/main/java/dewlane/core/fleet/CommandChannel.java
+++ b/src/main/java/dewlane/core/fleet/CommandChannel.java
@@ -19,6 +19,10 @@
  */
 public final class CommandChannel {
     private static final int FENCE_BITS = 20;
+    private static final int MAX_FENCE = (1 << FENCE_BITS) - 1;
+    /** How many raises of one epoch are kept for launches that must not be executed any more. */
+    private static final int RESERVED_RAISES = 1 << 16;
+
     private static final long NO_TOKEN = 0;
 
     private long epoch;
@@ -53,20 +57,32 @@
      * Called when this controller becomes the machine's owner; the token is higher than those of all earlier owners.
      */
     void acquire(long newEpoch) {
-        // The same partition map may be read again; its tokens up to the current fence were already used.
-        fence = newEpoch == epoch ? fence + 1 : 0;
-        epoch = newEpoch;
-        launchedWithToken.clear();
+        if (newEpoch == epoch) {
+            // The same partition map was read again; its tokens up to the current fence were already used.
+            raiseFence();
+        } else {
+            epoch = newEpoch;
+            fence = 0;
+            launchedWithToken.clear();
+        }
         responseLaunches.clear();
         responseToken = NO_TOKEN;
     }
 
     /**
      * Raises the fence: every command and response sent from now on makes the worker refuse all launches sent before.
+     * The highest token of an epoch is kept, since the next one would be a token of the next epoch.
      */
     public void raiseFence() {
-        fence++;
-        launchedWithToken.clear();
+        if (fence < MAX_FENCE) {
+            fence++;
+            launchedWithToken.clear();
+        }
+    }
+
+    /** Returns true if the epoch has enough tokens left to raise the fence for forgets. */
+    boolean mayRaiseForForgets() {
+        return fence < MAX_FENCE - RESERVED_RAISES;
     }
 
     /** Called when the worker began a new incarnation, in which it executes no launch of an earlier one. */
--- a/src/main/java/dewlane/core/fleet/ForgetFence.java
+++ b/src/main/java/dewlane/core/fleet/ForgetFence.java
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Returns true if launches that keep being pending have deferred forgets for two leases of the worker. No launch is
-     * added on the machine until the fence is raised.
+     * Returns true if forgets have been deferred for two leases of the worker, because launches keep being pending or
+     * the tokens of the epoch are used up. No launch is added on the machine until the fence is raised.
      */
     public static boolean isOverdue(Machine machine, ControllerContext context) {
         return machine.commands().deferredForgets().isDue(context.nowMs(), 2 * workerLeaseMs(context));
@@ -62,12 +62,15 @@
     }
 
     private void raiseIfNoLaunchIsPending(Machine machine) {
-        if (machine.commandChannel().isCommandInFlight() || machine.launches().isAnyPending()) {
+        CommandChannel channel = machine.commandChannel();
+        if (!channel.mayRaiseForForgets()
+                || channel.isCommandInFlight()
+                || machine.launches().isAnyPending()) {
             return;
         }
         long launchToken = machine.fencingToken();
         long deferredMs = machine.commands().deferredForgets().longestMs(context.nowMs());
-        machine.commandChannel().raiseFence();
+        channel.raiseFence();
         counters.increment(Counter.FENCES_RAISED_FOR_FORGETS);
         counters.raiseTo(Counter.LONGEST_FORGET_DEFERRAL_MS, deferredMs);
         log(machine, launchToken, deferredMs);
--- a/src/main/java/dewlane/core/fleet/package-info.java
+++ b/src/main/java/dewlane/core/fleet/package-info.java
@@ -6,7 +6,7 @@
  * {@code Machine} is composed of components with one responsibility each; {@code worker} updates them from heartbeats.
  *
  * <p>This package ensures that a fencing token is never used twice, and that a worker is told to forget an attempt only
- * when no copy of the attempt's launch can still take effect. It may depend on {@code membership} and the packages
- * below it.
+ * with a token that makes it refuse every copy of the attempt's launch. It may depend on {@code membership} and the
+ * packages below it.
  */
 package dewlane.core.fleet;
