A process that runs out of memory ends, on whatever thread that happens

Cause: Undertow and XNIO log and swallow what listeners, callbacks and timed tasks throw. A lack of memory while an answer of the store was read or parsed did not reach ControllerLoop, so the watch or listing was lost for ever.

--- a/src/main/java/dewlane/io/CloudClient.java
+++ b/src/main/java/dewlane/io/CloudClient.java
@@ -96,7 +96,8 @@
             Input.CreateStatus result = createStatus(status, answer);
             if (result == Input.CreateStatus.UNKNOWN && attempt < MAX_CREATE_ATTEMPTS) {
                 long pauseMs = CREATE_BACKOFF_MS * attempt;
-                thread.executeAfter(() -> createInstances(request, attempt + 1), pauseMs, TimeUnit.MILLISECONDS);
+                Runnable retry = FatalErrors.guard(() -> createInstances(request, attempt + 1));
+                thread.executeAfter(retry, pauseMs, TimeUnit.MILLISECONDS);
                 return;
             }
             if (result == Input.CreateStatus.INVALID) {
--- a/src/main/java/dewlane/io/ControllerServer.java
+++ b/src/main/java/dewlane/io/ControllerServer.java
@@ -8,7 +8,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +28,6 @@
     private static final int MAX_POOLED_BUFFERS = 200;
     private static final int IDLE_CONNECTION_TIMEOUT_MS = 120_000;
     private static final int REQUEST_HEADER_TIMEOUT_MS = 10_000;
-    private static final int EXIT_FATAL_ERROR = 3;
 
     private final Settings settings;
     private final NetworkSettings network;
@@ -37,7 +35,7 @@
     private final ControllerLoop loop;
     private final XnioWorker worker;
     private final XnioIoThread thread;
-    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
+    private final ByteBufferPool buffers = new ExitingBufferPool(BUFFER_BYTES, MAX_POOLED_BUFFERS);
     private final PendingRequests requests = new PendingRequests();
     private final WorkerConnectionPools workers;
     private final EffectDispatcher effects;
@@ -55,7 +53,7 @@
         this.controller = new Controller(settings, seed, value -> StoredValueCodec.encode(value).length);
         this.controller.setCommandLogging(
                 LoggerFactory.getLogger(Controller.class).isDebugEnabled());
-        this.loop = new ControllerLoop(controller, this::dispatch, ControllerServer::exit);
+        this.loop = new ControllerLoop(controller, this::dispatch, FatalErrors::exit);
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -78,15 +76,6 @@
         effects.dispatch(effect);
     }
 
-    /** Ends the process at once, so that it is restarted, as nothing can be relied on after the error. */
-    private static void exit(Error error) {
-        try {
-            LOG.error("fatal error, exiting", error);
-        } finally {
-            Runtime.getRuntime().halt(EXIT_FATAL_ERROR);
-        }
-    }
-
     /** Starts to listen and to send ticks to the core. */
     public void start() {
         server = Undertow.builder()
@@ -104,8 +93,8 @@
                 .build();
         server.start();
         LOG.info("{} listens on {} and {}", settings.controllerName(), network.listen(), network.peerListen());
-        thread.execute(this::tick);
-        thread.executeAfter(this::logSummary, SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        thread.execute(FatalErrors.guard(this::tick));
+        thread.executeAfter(FatalErrors.guard(this::logSummary), SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private HttpHandler serviceEndpoint() {
@@ -142,7 +131,7 @@
         if (worker.isShutdown()) {
             return;
         }
-        thread.executeAfter(this::tick, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        thread.executeAfter(FatalErrors.guard(this::tick), TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
         requests.expire();
         loop.accept(new Input.Tick());
     }
@@ -152,7 +141,7 @@
         if (worker.isShutdown()) {
             return;
         }
-        thread.executeAfter(this::logSummary, SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        thread.executeAfter(FatalErrors.guard(this::logSummary), SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         workers.closeIdle();
         LOG.info("since the start: {}; connections to {} workers", controller.countersSummary(), workers.size());
         requests.logLatencies(LOG);
--- a/src/main/java/dewlane/io/HttpBodies.java
+++ b/src/main/java/dewlane/io/HttpBodies.java
@@ -38,7 +38,7 @@
     }
 
     private static void writeLater(StreamSinkChannel channel, ByteBuffer body, Runnable failed) {
-        channel.getWriteSetter().set(writable -> write(writable, body, failed));
+        channel.getWriteSetter().set(writable -> FatalErrors.run(() -> write(writable, body, failed)));
         channel.resumeWrites();
     }
 
@@ -46,7 +46,8 @@
     static void read(StreamSourceChannel channel, Consumer<byte[]> completed, Runnable failed) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         byte[] buffer = new byte[BUFFER_BYTES];
-        channel.getReadSetter().set(readable -> drain(readable, body, buffer, completed, failed));
+        channel.getReadSetter()
+                .set(readable -> FatalErrors.run(() -> drain(readable, body, buffer, completed, failed)));
         drain(channel, body, buffer, completed, failed);
     }
 
--- a/src/main/java/dewlane/io/HttpConnectionPool.java
+++ b/src/main/java/dewlane/io/HttpConnectionPool.java
@@ -105,7 +105,7 @@
     /** Sends a request as soon as a connection is free; the callback is called once. */
     void send(HttpString method, String path, byte[] body, long timeoutMs, Callback callback) {
         Call call = new Call(method, path, body, callback);
-        call.timer = thread.executeAfter(() -> call.fail(), timeoutMs, TimeUnit.MILLISECONDS);
+        call.timer = thread.executeAfter(FatalErrors.guard(call::fail), timeoutMs, TimeUnit.MILLISECONDS);
         queuedCalls.add(call);
         pendingCalls++;
         lastCallAtNanos = System.nanoTime();
@@ -169,24 +169,12 @@
                         new ClientCallback<ClientConnection>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                connectionsBeingOpened--;
-                                if (call.completed && closed) {
-                                    openConnections--;
-                                    IoUtils.safeClose(connection);
-                                } else if (call.completed) {
-                                    idleConnections.push(connection);
-                                    startQueuedCalls();
-                                } else {
-                                    start(call, connection);
-                                }
+                                FatalErrors.run(() -> onConnected(call, connection));
                             }
 
                             @Override
                             public void failed(IOException e) {
-                                connectionsBeingOpened--;
-                                openConnections--;
-                                call.fail();
-                                startQueuedCalls();
+                                FatalErrors.run(() -> onConnectFailed(call));
                             }
                         },
                         uri,
@@ -195,6 +183,26 @@
                         OptionMap.EMPTY);
     }
 
+    private void onConnected(Call call, ClientConnection connection) {
+        connectionsBeingOpened--;
+        if (call.completed && closed) {
+            openConnections--;
+            IoUtils.safeClose(connection);
+        } else if (call.completed) {
+            idleConnections.push(connection);
+            startQueuedCalls();
+        } else {
+            start(call, connection);
+        }
+    }
+
+    private void onConnectFailed(Call call) {
+        connectionsBeingOpened--;
+        openConnections--;
+        call.fail();
+        startQueuedCalls();
+    }
+
     private void start(Call call, ClientConnection connection) {
         call.connection = connection;
         ClientRequest request = new ClientRequest().setMethod(call.method).setPath(call.path);
@@ -209,7 +217,7 @@
                 exchange.setResponseListener(new ClientCallback<ClientExchange>() {
                     @Override
                     public void completed(ClientExchange answered) {
-                        readResponse(call, answered);
+                        FatalErrors.run(() -> readResponse(call, answered));
                     }
 
                     @Override
@@ -237,7 +245,7 @@
         HttpBodies.read(
                 exchange.getResponseChannel(),
                 // The connection can be reused only after Undertow has processed the end of this exchange.
-                body -> thread.execute(() -> call.complete(status, body, reusable)),
+                body -> thread.execute(FatalErrors.guard(() -> call.complete(status, body, reusable))),
                 call::fail);
     }
 }
--- a/src/main/java/dewlane/io/HttpExchanges.java
+++ b/src/main/java/dewlane/io/HttpExchanges.java
@@ -47,7 +47,8 @@
         exchange.getRequestReceiver().setMaxBufferSize(MAX_BODY_BYTES);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (read, body) -> read.dispatch(SameThreadExecutor.INSTANCE, () -> handler.onBody(read, body)),
+                        (read, body) -> read.dispatch(
+                                SameThreadExecutor.INSTANCE, FatalErrors.guard(() -> handler.onBody(read, body))),
                         (failed, cause) -> {
                             failed.setPersistent(false);
                             sendError(failed, StatusCodes.BAD_REQUEST, "the body is over 64 KiB or broke off");
--- a/src/main/java/dewlane/io/StoreClient.java
+++ b/src/main/java/dewlane/io/StoreClient.java
@@ -80,7 +80,7 @@
                 onPage(listing, body);
             } else if (listing.firstRevision != 0 && listing.refusalsOfPage < MAX_PAGE_RETRIES) {
                 listing.refusalsOfPage++;
-                thread.executeAfter(() -> listPage(listing, after), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+                executeAfter(RETRY_DELAY_MS, () -> listPage(listing, after));
             } else {
                 acceptAfter(RETRY_DELAY_MS, new Input.StoreListFailed());
             }
@@ -105,12 +105,16 @@
     }
 
     private void acceptAfter(long pauseMs, Input input) {
-        thread.executeAfter(() -> core.accept(input), pauseMs, TimeUnit.MILLISECONDS);
+        executeAfter(pauseMs, () -> core.accept(input));
+    }
+
+    private void executeAfter(long pauseMs, Runnable task) {
+        thread.executeAfter(FatalErrors.guard(task), pauseMs, TimeUnit.MILLISECONDS);
     }
 
     /** Opens a watch for changes after the revision, after a pause that keeps to the request rate. */
     void watch(long id, long afterRevision) {
-        thread.executeAfter(() -> openWatch(id, afterRevision), watchPauseMs, TimeUnit.MILLISECONDS);
+        executeAfter(watchPauseMs, () -> openWatch(id, afterRevision));
     }
 
     private void openWatch(long id, long afterRevision) {
--- a/src/main/java/dewlane/io/UserEndpoint.java
+++ b/src/main/java/dewlane/io/UserEndpoint.java
@@ -49,7 +49,8 @@
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> forward(exchange, PendingRequests.Kind.QUERY, id -> new Input.GetJobStatus(id, job)));
+                    FatalErrors.guard(() ->
+                            forward(exchange, PendingRequests.Kind.QUERY, id -> new Input.GetJobStatus(id, job))));
         }
     }
 
