A listing shares the values that the replica holds; larger answers than 4 MiB are not read

Need: a controller must be able to read back all that was accepted, with the heap of the deploy file. A listing held the values of all pages beside the replica, so all jobs twice; the answer to a watch, which has no size limit, was read and parsed whole, and may be 160 MB after a pause of the process.

Change: pages of a listing go to the core one by one; values equal to the replica's are shared; a listing that lost a page is discarded. An answer of more than 4 MiB ends its call, and after a watch the store is listed. Rows and changes are parsed and decoded one at a time.

StoreClientTest.refusedPageOfListingIsRequestedAgain collects the pages now; what it requires of them is unchanged.

Evidence: with the parts of the fix taken out, three new tests failed, one each: listedValuesThatTheReplicaHoldsAreShared, listingThatLacksPageIsDiscarded and changesThatAreTooLargeToReadLeadToListing.

--- a/src/main/java/dewlane/core/controller/WatchInputHandlers.java
+++ b/src/main/java/dewlane/core/controller/WatchInputHandlers.java
@@ -15,6 +15,7 @@
     }
 
     void register(HandlerTable<Input> handlers) {
+        handlers.on(Input.StorePageListed.class, storeWatcher::onPageListed);
         handlers.on(Input.StoreListed.class, storeWatcher::onListed);
         handlers.on(Input.StoreListFailed.class, failed -> storeWatcher.onListFailed());
         handlers.on(Input.WatchEvents.class, this::onWatchEvents);
--- a/src/main/java/dewlane/core/message/Input.java
+++ b/src/main/java/dewlane/core/message/Input.java
@@ -32,10 +32,14 @@
      */
     record KeyChange(String key, StoredValue value, long revision) {}
 
+    /** A page of a listing of the store was read, and is not the last one. */
+    record StorePageListed(List<StoreRow> rows) implements Input {}
+
     /**
      * The store was listed, page by page.
      *
-     * @param rows all keys except job results; changes after {@code revision} may or may not be included
+     * @param rows the rows of the last page. All pages together have all keys except job results; changes after
+     *     {@code revision} may or may not be included
      * @param revision the store's revision when the first page was read
      * @param latestRevision the store's revision when the last page was read
      */
--- a/src/main/java/dewlane/core/store/JobTable.java
+++ b/src/main/java/dewlane/core/store/JobTable.java
@@ -2,6 +2,7 @@
 
 import dewlane.core.message.Input.KeyChange;
 import dewlane.core.schema.StoreKey;
+import dewlane.core.schema.StoredValue;
 import dewlane.core.schema.StoredValue.JobRecord;
 import dewlane.core.schema.StoredValue.Slice;
 import dewlane.core.schema.StoredValue.SliceAssignment;
@@ -48,6 +49,17 @@
         return jobs.get(id);
     }
 
+    /** Returns the value of a job's or slice's key, or null if there is none. */
+    StoredValue value(StoreKey key) {
+        if (key instanceof StoreKey.OfSlice slice) {
+            JobEntry job = jobs.get(slice.job());
+            SliceEntry entry = job == null ? null : job.slicesByNumber().get(slice.number());
+            return entry == null ? null : entry.stored();
+        }
+        JobEntry job = key instanceof StoreKey.OfJob record ? jobs.get(record.job()) : null;
+        return job == null ? null : job.record();
+    }
+
     Collection<JobEntry> endedJobsWithSlices() {
         return endedJobsWithSlices;
     }
--- a/src/main/java/dewlane/core/store/StoreReplica.java
+++ b/src/main/java/dewlane/core/store/StoreReplica.java
@@ -52,6 +52,15 @@
         this.jobs = new JobTable(listener);
     }
 
+    /**
+     * Returns a row of a listing with the replica's own value in place of an equal one, so that a listing that is read
+     * while the replica holds an older one takes little memory.
+     */
+    StoreRow withSharedValue(StoreRow row) {
+        StoredValue held = jobs.value(StoreKey.parse(row.key()));
+        return row.value().equals(held) ? new StoreRow(row.key(), held, row.revision()) : row;
+    }
+
     /** Removes the contents before a listing is loaded. */
     void clear() {
         jobs.clear();
--- a/src/main/java/dewlane/core/store/StoreWatcher.java
+++ b/src/main/java/dewlane/core/store/StoreWatcher.java
@@ -25,6 +25,7 @@
     private final ReadBarrier barrier;
     private final ControllerCounters counters;
     private final ListingSchedule listings;
+    private final ListedRows listedRows;
     /** When the watch in flight was requested; its answer includes everything that was durable at that time. */
     private long watchRequestedAtMs;
 
@@ -52,6 +53,7 @@
         this.barrier = barrier;
         this.counters = counters;
         this.listings = new ListingSchedule(context);
+        this.listedRows = new ListedRows(replica);
     }
 
     /** Returns true if the store has been listed and is being watched. */
@@ -76,14 +78,26 @@
         }
         if (!loaded && listings.isDue()) {
             listings.onRequested();
+            listedRows.clear();
             context.emit(new Effect.ListStore());
         }
     }
 
+    /** Called when a page of the listing has been read, but not the last one. */
+    public void onPageListed(Input.StorePageListed in) {
+        connectivity.onContact();
+        listedRows.add(in.rows());
+    }
+
     /** Called when the store has been listed. */
     public void onListed(Input.StoreListed in) {
         connectivity.onContact();
         listings.onEnded();
+        listedRows.add(in.rows());
+        if (!listedRows.isComplete()) {
+            context.info("a page of the listing was lost, listing the store again");
+            return;
+        }
         loaded = false;
         // Later pages of the listing may include changes that earlier pages lack. The replica is consistent once the
         // watch has reached the last page's revision.
@@ -91,7 +105,7 @@
         try {
             replica.clear();
             loaded = true;
-            replica.load(in.rows(), in.revision());
+            replica.load(listedRows.take(), in.revision());
             freshness.onRefreshed(listings.requestedAtMs());
             barrier.onReplicaAdvanced();
             context.info("read " + replica.jobs().size() + " jobs from the store at revision " + in.revision());
@@ -113,6 +127,7 @@
     /** Called when the listing has failed. */
     public void onListFailed() {
         listings.onEnded();
+        listedRows.clear();
     }
 
     private void watch(long afterRevision) {
--- a/src/main/java/dewlane/io/HttpBodies.java
+++ b/src/main/java/dewlane/io/HttpBodies.java
@@ -42,37 +42,55 @@
         channel.resumeWrites();
     }
 
-    /** Reads a body up to its end; one of the two callbacks is run, once. */
-    static void read(StreamSourceChannel channel, Consumer<byte[]> completed, Runnable failed) {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        byte[] buffer = new byte[BUFFER_BYTES];
-        channel.getReadSetter()
-                .set(readable -> FatalErrors.run(() -> drain(readable, body, buffer, completed, failed)));
-        drain(channel, body, buffer, completed, failed);
+    /**
+     * Reads a body up to its end; one of the three callbacks is run, once.
+     *
+     * @param maxBytes the size beyond which the rest of the body is not read
+     */
+    static void read(
+            StreamSourceChannel channel, int maxBytes, Consumer<byte[]> completed, Runnable tooLarge, Runnable failed) {
+        Reader reader = new Reader(maxBytes, completed, tooLarge, failed);
+        channel.getReadSetter().set(readable -> FatalErrors.run(() -> reader.drain(readable)));
+        reader.drain(channel);
     }
 
-    private static void drain(
-            StreamSourceChannel channel,
-            ByteArrayOutputStream body,
-            byte[] buffer,
-            Consumer<byte[]> completed,
-            Runnable failed) {
-        try {
-            while (true) {
+    /** Reads one body as its bytes arrive. */
+    private static final class Reader {
+        private final int maxBytes;
+        private final Consumer<byte[]> completed;
+        private final Runnable tooLarge;
+        private final Runnable failed;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final byte[] buffer = new byte[BUFFER_BYTES];
+
+        Reader(int maxBytes, Consumer<byte[]> completed, Runnable tooLarge, Runnable failed) {
+            this.maxBytes = maxBytes;
+            this.completed = completed;
+            this.tooLarge = tooLarge;
+            this.failed = failed;
+        }
+
+        void drain(StreamSourceChannel channel) {
+            try {
                 int count = channel.read(ByteBuffer.wrap(buffer));
+                while (count > 0) {
+                    body.write(buffer, 0, count);
+                    if (body.size() > maxBytes) {
+                        channel.suspendReads();
+                        tooLarge.run();
+                        return;
+                    }
+                    count = channel.read(ByteBuffer.wrap(buffer));
+                }
                 if (count == 0) {
                     channel.resumeReads();
-                    return;
-                }
-                if (count < 0) {
+                } else {
                     channel.suspendReads();
                     completed.accept(body.toByteArray());
-                    return;
                 }
-                body.write(buffer, 0, count);
+            } catch (IOException e) {
+                failed.run();
             }
-        } catch (IOException e) {
-            failed.run();
         }
     }
 }
--- a/src/main/java/dewlane/io/HttpConnectionPool.java
+++ b/src/main/java/dewlane/io/HttpConnectionPool.java
@@ -28,7 +28,12 @@
     /** The status of a call that received no answer. */
     static final int NO_ANSWER = -1;
 
-    /** Called with the status and body of the answer, or with {@link #NO_ANSWER}. */
+    /** The status of a call whose answer was discarded, as it is larger than {@link #MAX_ANSWER_BYTES}. */
+    static final int ANSWER_TOO_LARGE = -2;
+    /** The size up to which answers are read: eight times that of the largest page of a listing of the store. */
+    static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    /** Called with the status and body of the answer, or with a negative status and no body. */
     interface Callback {
         void onCompleted(int status, byte[] body);
     }
@@ -244,8 +249,10 @@
         int status = response.getResponseCode();
         HttpBodies.read(
                 exchange.getResponseChannel(),
+                MAX_ANSWER_BYTES,
                 // The connection can be reused only after Undertow has processed the end of this exchange.
                 body -> thread.execute(FatalErrors.guard(() -> call.complete(status, body, reusable))),
+                () -> call.complete(ANSWER_TOO_LARGE, NO_BODY, false),
                 call::fail);
     }
 }
--- a/src/main/java/dewlane/io/StoreClient.java
+++ b/src/main/java/dewlane/io/StoreClient.java
@@ -10,8 +10,6 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -68,7 +66,6 @@
 
     /** A listing in progress. */
     private static final class Listing {
-        final List<Input.StoreRow> rows = new ArrayList<>();
         long firstRevision;
         int refusalsOfPage;
     }
@@ -94,13 +91,13 @@
             core.accept(new Input.StoreListFailed());
             return;
         }
-        listing.rows.addAll(page.rows());
         listing.refusalsOfPage = 0;
         listing.firstRevision = listing.firstRevision == 0 ? page.revision() : listing.firstRevision;
         if (page.more() && page.lastKey() != null) {
+            core.accept(new Input.StorePageListed(page.rows()));
             listPage(listing, page.lastKey());
         } else {
-            core.accept(new Input.StoreListed(listing.rows, listing.firstRevision, page.revision()));
+            core.accept(new Input.StoreListed(page.rows(), listing.firstRevision, page.revision()));
         }
     }
 
@@ -126,8 +123,13 @@
             if (events != null) {
                 core.accept(new Input.WatchEvents(id, events.changes(), events.revision()));
             } else {
+                if (status == HttpConnectionPool.ANSWER_TOO_LARGE) {
+                    LOG.warn("the changes since revision {} are too large to be read at once", afterRevision);
+                }
+                // A listing is read in pages of limited size, and makes the changes unnecessary.
+                boolean mustList = status == StatusCodes.GONE || status == HttpConnectionPool.ANSWER_TOO_LARGE;
                 long pauseMs = status == HttpConnectionPool.NO_ANSWER ? 0 : RETRY_DELAY_MS;
-                acceptAfter(pauseMs, new Input.WatchFailed(id, status == StatusCodes.GONE));
+                acceptAfter(pauseMs, new Input.WatchFailed(id, mustList));
             }
         });
     }
--- a/src/main/java/dewlane/wire/Json.java
+++ b/src/main/java/dewlane/wire/Json.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** Reads and writes JSON with Jackson's streaming parser and generator. */
 final class Json {
@@ -43,32 +44,76 @@
      * @throws IOException if the document is not JSON, is not an object, or has content after it
      */
     static Map<String, Object> parse(byte[] bytes) throws IOException {
+        return parse(bytes, null, element -> {});
+    }
+
+    /**
+     * Parses a document that is one object, and passes each object in one of its arrays to a consumer as soon as it has
+     * been parsed. The returned object holds an empty array in place of these, so that only one of them is in memory.
+     *
+     * @param arrayField the name of the array, or null for none; its elements of other types are skipped
+     * @throws IOException if the document is not JSON, is not an object, or has content after it; some of the elements
+     *     may have been consumed then
+     */
+    static Map<String, Object> parse(byte[] bytes, String arrayField, Consumer<Map<String, Object>> elementConsumer)
+            throws IOException {
         try (JsonParser in = FACTORY.createParser(bytes)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("expected a JSON object");
             }
-            Map<String, Object> read = readObject(in);
+            Map<String, Object> document = readDocument(in, arrayField, elementConsumer);
             if (in.nextToken() != null) {
                 throw new IOException("unexpected content after the JSON object");
             }
-            return read;
+            return document;
+        }
+    }
+
+    private static Map<String, Object> readDocument(
+            JsonParser in, String arrayField, Consumer<Map<String, Object>> elementConsumer) throws IOException {
+        Map<String, Object> document = new HashMap<>();
+        String name = null;
+        JsonToken token = nextToken(in);
+        while (token != JsonToken.END_OBJECT) {
+            if (token == JsonToken.FIELD_NAME) {
+                name = in.currentName();
+            } else if (token == JsonToken.START_ARRAY && name.equals(arrayField)) {
+                document.put(name, List.of());
+                readElements(in, elementConsumer);
+            } else {
+                document.put(name, readValue(in, token));
+            }
+            token = nextToken(in);
+        }
+        return document;
+    }
+
+    /** Reads the rest of an array whose start has been read. */
+    private static void readElements(JsonParser in, Consumer<Map<String, Object>> consumer) throws IOException {
+        JsonToken token = nextToken(in);
+        while (token != JsonToken.END_ARRAY) {
+            Object element = readValue(in, token);
+            if (token == JsonToken.START_OBJECT) {
+                consumer.accept(asObject(element));
+            }
+            token = nextToken(in);
         }
     }
 
     /**
-     * Reads the rest of an object whose start has been read. Objects and arrays that have not ended yet are kept on a
-     * stack of their own, so that the depth of the document does not determine that of the call stack.
+     * Reads a value whose first token has been read. Objects and arrays that have not ended yet are kept on a stack of
+     * their own, so that the depth of the document does not determine that of the call stack.
      */
-    private static Map<String, Object> readObject(JsonParser in) throws IOException {
-        Map<String, Object> object = new HashMap<>();
+    private static Object readValue(JsonParser in, JsonToken firstToken) throws IOException {
+        Object outermost = value(in, firstToken);
         Deque<Object> open = new ArrayDeque<>();
-        open.push(object);
+        if (firstToken.isStructStart()) {
+            open.push(outermost);
+        }
         String name = null;
         while (!open.isEmpty()) {
-            JsonToken token = in.nextToken();
-            if (token == null) {
-                throw new IOException("truncated JSON");
-            } else if (token == JsonToken.FIELD_NAME) {
+            JsonToken token = nextToken(in);
+            if (token == JsonToken.FIELD_NAME) {
                 name = in.currentName();
             } else if (token.isStructEnd()) {
                 open.pop();
@@ -80,7 +125,15 @@
                 }
             }
         }
-        return object;
+        return outermost;
+    }
+
+    private static JsonToken nextToken(JsonParser in) throws IOException {
+        JsonToken token = in.nextToken();
+        if (token == null) {
+            throw new IOException("truncated JSON");
+        }
+        return token;
     }
 
     /** Adds a value to an array, or to an object under the given name. */
--- a/src/main/java/dewlane/wire/StoreProtocol.java
+++ b/src/main/java/dewlane/wire/StoreProtocol.java
@@ -116,18 +116,22 @@
      * @throws IOException if the body is not a JSON object
      */
     public static Page parsePage(byte[] body) throws IOException {
-        Map<String, Object> fields = Json.parse(body);
-        List<StoreRow> rows = new ArrayList<>();
-        String lastKey = null;
-        for (Object element : Json.list(fields, ROWS)) {
-            Map<String, Object> row = Json.asObject(element);
-            String key = Json.string(row, KEY);
-            lastKey = key;
-            if (StoreKeys.isKnown(key)) {
-                rows.add(row(key, row));
+        PageRows page = new PageRows();
+        Map<String, Object> fields = Json.parse(body, ROWS, page::add);
+        return new Page(page.rows, page.lastKey, Json.bool(fields, MORE), Json.integer(fields, REVISION));
+    }
+
+    /** The rows of a page that have been parsed. */
+    private static final class PageRows {
+        final List<StoreRow> rows = new ArrayList<>();
+        String lastKey;
+
+        void add(Map<String, Object> row) {
+            lastKey = Json.string(row, KEY);
+            if (StoreKeys.isKnown(lastKey)) {
+                rows.add(row(lastKey, row));
             }
         }
-        return new Page(rows, lastKey, Json.bool(fields, MORE), Json.integer(fields, REVISION));
     }
 
     /**
@@ -136,20 +140,20 @@
      * @throws IOException if the body is not a JSON object
      */
     public static Events parseEvents(byte[] body) throws IOException {
-        Map<String, Object> fields = Json.parse(body);
         List<KeyChange> changes = new ArrayList<>();
-        for (Object element : Json.list(fields, EVENTS)) {
-            Map<String, Object> event = Json.asObject(element);
-            String putKey = Json.string(event, PUT);
-            String key = putKey == null ? Json.string(event, DELETE) : putKey;
-            if (StoreKeys.isKnown(key)) {
-                StoredValue value = putKey == null ? null : value(key, event);
-                changes.add(new KeyChange(key, value, Json.integer(event, KEY_REVISION)));
-            }
-        }
+        Map<String, Object> fields = Json.parse(body, EVENTS, event -> addChange(event, changes));
         return new Events(changes, Json.integer(fields, REVISION));
     }
 
+    private static void addChange(Map<String, Object> event, List<KeyChange> changes) {
+        String putKey = Json.string(event, PUT);
+        String key = putKey == null ? Json.string(event, DELETE) : putKey;
+        if (StoreKeys.isKnown(key)) {
+            StoredValue value = putKey == null ? null : value(key, event);
+            changes.add(new KeyChange(key, value, Json.integer(event, KEY_REVISION)));
+        }
+    }
+
     /** Returns the body of a transaction. */
     public static byte[] transactionRequest(Transaction transaction) {
         return Json.write(out -> {
--- a/src/test/java/dewlane/core/store/StoreWatcherTest.java
+++ b/src/test/java/dewlane/core/store/StoreWatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,6 +15,7 @@
 import dewlane.core.schema.StoreKeys;
 import dewlane.core.schema.StoredValue.JobRecord;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -170,4 +172,46 @@
         assertEquals(List.of(), takeAfterTicks(1, Effect.ListStore.class));
         assertTrue(watcher.onEvents(events(watch, 11, "one")));
     }
+
+    /** Guards against two copies of all jobs in memory whenever the store is listed again. */
+    @Test
+    void listedValuesThatTheReplicaHoldsAreShared() {
+        watcher.onListed(listing(11, "one", "two"));
+        JobRecord held = replica.job("one").record();
+        watcher.onPageListed(new Input.StorePageListed(listing(12, "one").rows()));
+        watcher.onListed(listing(12, "two", "three"));
+        assertSame(held, replica.job("one").record());
+        assertEquals(12, replica.job("one").revision());
+        assertEquals(3, replica.jobs().size());
+    }
+
+    /** Guards against jobs that count as unknown because a page of the listing was not handled. */
+    @Test
+    void listingThatLacksPageIsDiscarded() {
+        take(Effect.Watch.class);
+        watcher.onListed(listing(11, "one"));
+        long watch = take(Effect.Watch.class).get(0).id();
+        watcher.onWatchFailed(new Input.WatchFailed(watch, true));
+        assertEquals(1, takeAfterTicks(10, Effect.ListStore.class).size());
+        List<Input.StoreRow> malformed = Collections.singletonList(null);
+        assertThrows(NullPointerException.class, () -> watcher.onPageListed(new Input.StorePageListed(malformed)));
+        watcher.onPageListed(new Input.StorePageListed(listing(12, "two").rows()));
+        watcher.onListed(listing(12, "three"));
+        assertFalse(watcher.isCaughtUp());
+        assertEquals(1, replica.jobs().size(), "the replica is unchanged");
+        assertEquals(1, takeAfterTicks(10, Effect.ListStore.class).size(), "the store is listed again");
+        watcher.onListed(listing(12, "one", "two", "three"));
+        assertTrue(watcher.isCaughtUp());
+        assertEquals(3, replica.jobs().size());
+    }
+
+    /** Guards against pages of a failed listing that become part of the next one. */
+    @Test
+    void pagesOfFailedListingAreDropped() {
+        watcher.onPageListed(
+                new Input.StorePageListed(listing(12, "deleted meanwhile").rows()));
+        watcher.onListFailed();
+        watcher.onListed(listing(13, "one"));
+        assertEquals(1, replica.jobs().size());
+    }
 }
--- a/src/test/java/dewlane/io/StoreClientTest.java
+++ b/src/test/java/dewlane/io/StoreClientTest.java
@@ -12,6 +12,8 @@
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -103,12 +105,33 @@
                 answers.add(new Answer(429, "{}"));
             }
         }
-        Input.StoreListed listed = assertInstanceOf(Input.StoreListed.class, resultOf(StoreClient::list));
+        List<Input.StoreRow> rows = new ArrayList<>();
+        Input result = resultOf(StoreClient::list);
+        while (result instanceof Input.StorePageListed page) {
+            rows.addAll(page.rows());
+            result = results.poll(RESULT_TIMEOUT_S, TimeUnit.SECONDS);
+        }
+        Input.StoreListed listed = assertInstanceOf(Input.StoreListed.class, result);
+        rows.addAll(listed.rows());
         assertEquals(100, listed.revision(), "the revision of the first page");
         assertEquals(100 + PAGES - 1, listed.latestRevision());
         assertEquals(
                 IntStream.range(0, PAGES).mapToObj(StoreClientTest::key).toList(),
-                listed.rows().stream().map(Input.StoreRow::key).collect(Collectors.toList()));
+                rows.stream().map(Input.StoreRow::key).collect(Collectors.toList()));
+    }
+
+    /**
+     * Guards against a controller that runs out of memory over the answer to its watch, which has no size limit, when
+     * it has fallen behind: the store is listed instead.
+     */
+    @Test
+    void changesThatAreTooLargeToReadLeadToListing() throws Exception {
+        String padding = "x".repeat(HttpConnectionPool.MAX_ANSWER_BYTES);
+        answers.add(new Answer(200, "{\"log\":[],\"ledger\":1,\"padding\":\"" + padding + "\"}"));
+        assertEquals(new Input.WatchFailed(7, true), resultOf(store -> store.watch(7, 1)));
+        answers.add(new Answer(200, "{\"log\":[],\"ledger\":9}"));
+        answers.poll();
+        assertEquals(new Input.WatchEvents(8, List.of(), 9), resultOf(store -> store.watch(8, 1)));
     }
 
     /** Guards against retries that hide an outage: nothing has been read yet, so nothing is lost by failing. */
