Submissions are refused while the stored jobs take 64 MiB of memory on each controller

Cause: nothing bounded the sum of what accepted jobs take; each submission was checked alone.

Change: JobMemory estimates the sum once a second, and NewJobWriter refuses a new job beyond 64 MiB before anything is written: 503, Retry-After 10 s, a log line, a counter. Repeats, queries, cancellations, heartbeats and the controllers' own writes go on, and whatever is stored is read. The estimate is logged once a minute.

--- a/src/main/java/dewlane/core/admission/NewJobWriter.java
+++ b/src/main/java/dewlane/core/admission/NewJobWriter.java
@@ -1,5 +1,6 @@
 package dewlane.core.admission;
 
+import dewlane.core.job.JobMemory;
 import dewlane.core.message.ControllerContext;
 import dewlane.core.message.Effect.JobCondition;
 import dewlane.core.model.Job;
@@ -25,6 +26,9 @@
 
         /** Called if there are more submissions than the write rate allows. Nothing was written. */
         void onWriteRateExceeded();
+
+        /** Called if the stored jobs leave no room for the job in the controllers' memory. Nothing was written. */
+        void onMemoryExceeded();
     }
 
     private final ControllerContext context;
@@ -32,19 +36,25 @@
     private final TransactionQueue transactions;
     private final SliceAssigner assigner;
     private final ValueSizer sizer;
+    private final JobMemory memory;
 
-    /** Creates a writer that submits to the queue. The assigner splits jobs into slices and selects their owners. */
+    /**
+     * Creates a writer that submits to the queue the jobs for which there is memory. The assigner splits jobs into
+     * slices and selects their owners.
+     */
     public NewJobWriter(
             ControllerContext context,
             StoreReplica replica,
             TransactionQueue transactions,
             SliceAssigner assigner,
-            ValueSizer sizer) {
+            ValueSizer sizer,
+            JobMemory memory) {
         this.context = context;
         this.replica = replica;
         this.transactions = transactions;
         this.assigner = assigner;
         this.sizer = sizer;
+        this.memory = memory;
     }
 
     /**
@@ -60,9 +70,12 @@
         }
         if (sizer.bytes(record) > maxBytes) {
             listener.onTooLarge(maxBytes);
+        } else if (!memory.hasRoomFor(record)) {
+            listener.onMemoryExceeded();
         } else if (!transactions.tryAdmitSubmission()) {
             listener.onWriteRateExceeded();
         } else {
+            memory.onAdmitted(record);
             Transaction.Builder transaction = ifAbsent(job.id()).put(StoreKeys.job(job.id()), record);
             submit(transaction, listener, () -> listener.onAccepted(JobCondition.PENDING));
         }
--- a/src/main/java/dewlane/core/admission/SubmissionHandler.java
+++ b/src/main/java/dewlane/core/admission/SubmissionHandler.java
@@ -156,6 +156,11 @@
             responses.tooManySubmissions(request.id());
         }
 
+        @Override
+        public void onMemoryExceeded() {
+            responses.tooManyStoredJobs(request.id());
+        }
+
         /** Answers with the state of the job, which was accepted before, maybe by an earlier copy of this request. */
         @Override
         public void onConflict() {
--- a/src/main/java/dewlane/core/admission/UserResponses.java
+++ b/src/main/java/dewlane/core/admission/UserResponses.java
@@ -18,6 +18,8 @@
     private static final int DEFAULT_RETRY_AFTER_S = 1;
     /** Retry delay for submissions that exceed the write rate. */
     private static final int OVERLOAD_RETRY_AFTER_S = 4;
+    /** Retry delay for submissions for which there is no room until other jobs have ended. */
+    private static final int MEMORY_RETRY_AFTER_S = 10;
     /** Retry delay for requests that cannot be accepted before every controller is upgraded. */
     private static final int UPGRADE_RETRY_AFTER_S = 5;
 
@@ -94,6 +96,11 @@
         retryLater(requestId, "too many submissions, try again", OVERLOAD_RETRY_AFTER_S);
     }
 
+    /** Asks the user to retry because the stored jobs take all the memory that is meant for them. */
+    void tooManyStoredJobs(long requestId) {
+        retryLater(requestId, "too many jobs have not ended, try again", MEMORY_RETRY_AFTER_S);
+    }
+
     /** Asks the user to retry because a controller may still run an older version that does not support the request. */
     void upgradeUnfinished(long requestId) {
         retryLater(
--- a/src/main/java/dewlane/core/controller/Controller.java
+++ b/src/main/java/dewlane/core/controller/Controller.java
@@ -2,6 +2,7 @@
 
 import dewlane.core.config.Settings;
 import dewlane.core.fleet.MachineRegistry;
+import dewlane.core.job.JobMemory;
 import dewlane.core.message.ControllerContext;
 import dewlane.core.message.ControllerCounters;
 import dewlane.core.message.Counter;
@@ -24,6 +25,7 @@
     private final HandlerTable<Input> handlers;
     private final SchedulingTrigger scheduling;
     private final Readiness readiness;
+    private final JobMemory jobMemory;
 
     /**
      * Creates a controller that has not joined the partition map yet.
@@ -39,6 +41,7 @@
         this.handlers = assembly.inputHandlers();
         this.scheduling = assembly.scheduling();
         this.readiness = assembly.readiness();
+        this.jobMemory = assembly.jobMemory();
     }
 
     /**
@@ -65,6 +68,11 @@
         return counters.summary();
     }
 
+    /** Returns the bytes that the stored jobs are estimated to take, of {@link JobMemory#MAX_BYTES}. */
+    public long jobMemoryBytes() {
+        return jobMemory.usedBytes();
+    }
+
     /** Returns the number of machines in this controller's partition. */
     public int ownedMachineCount() {
         return machines.owned().size();
--- a/src/main/java/dewlane/core/controller/ControllerAssembly.java
+++ b/src/main/java/dewlane/core/controller/ControllerAssembly.java
@@ -17,6 +17,7 @@
 import dewlane.core.job.CancellationTracker;
 import dewlane.core.job.DependencyGraph;
 import dewlane.core.job.DependencyTracker;
+import dewlane.core.job.JobMemory;
 import dewlane.core.membership.AuthorityMonitor;
 import dewlane.core.membership.Membership;
 import dewlane.core.membership.PeerTable;
@@ -64,6 +65,7 @@
     private final AuthorityMonitor authority;
     private final JobResultReader resultReader;
     private final DependencyTracker dependencies;
+    private final JobMemory jobMemory;
     private final QuotaEnforcer quota;
     private final PartitionCapacity partitionCapacity;
     private final PartitionSelector partitions;
@@ -88,6 +90,7 @@
         authority = new AuthorityMonitor(context, membership, storeConnectivity, freshness);
         resultReader = new JobResultReader(context, replica);
         dependencies = new DependencyTracker(context, replica, dependencyGraph, resultReader);
+        jobMemory = new JobMemory(context, replica, dependencyGraph, counters);
         quota = new QuotaEnforcer(settings, replica, machines);
         partitionCapacity = new PartitionCapacity(context, replica, machines);
         partitions = new PartitionSelector(context, replica, partitionCapacity, quota, dependencyGraph);
@@ -135,6 +138,11 @@
         return machines;
     }
 
+    /** Returns the estimate of the memory that the stored jobs take. */
+    JobMemory jobMemory() {
+        return jobMemory;
+    }
+
     /** Returns the trigger of scheduling cycles. */
     SchedulingTrigger scheduling() {
         return scheduling;
@@ -178,7 +186,7 @@
                 statuses,
                 new JobValidator(context.settings(), machines),
                 new DependencyLookup(replica, dependencies, barrier, resultReader),
-                new NewJobWriter(context, replica, transactions, assigner, sizer),
+                new NewJobWriter(context, replica, transactions, assigner, sizer, jobMemory),
                 responses);
         return new UserInputHandlers(
                 submissions, statuses, new CancellationHandler(lookup, cancellationWriter, responses));
@@ -203,6 +211,7 @@
                 broadcaster::announceCancellations);
         List<Runnable> everySecond = List.of(
                 this::shareWriteRate,
+                jobMemory::recount,
                 authority::tick,
                 failureDetector::tick,
                 commands::tick,
--- a/src/main/java/dewlane/core/message/Counter.java
+++ b/src/main/java/dewlane/core/message/Counter.java
@@ -53,7 +53,9 @@
     /** Transactions that the store rejected as invalid. */
     INVALID_TRANSACTIONS("transactions invalid"),
     /** Stored keys and values that could not be read. */
-    UNREADABLE_VALUES("unreadable values");
+    UNREADABLE_VALUES("unreadable values"),
+    /** Submissions refused because the stored jobs take all the memory that is meant for them. */
+    SUBMISSIONS_REFUSED_FOR_MEMORY("submissions refused for memory");
 
     private final String label;
 
--- a/src/main/java/dewlane/io/ControllerServer.java
+++ b/src/main/java/dewlane/io/ControllerServer.java
@@ -2,6 +2,7 @@
 
 import dewlane.core.config.Settings;
 import dewlane.core.controller.Controller;
+import dewlane.core.job.JobMemory;
 import dewlane.core.message.Effect;
 import dewlane.core.message.Input;
 import dewlane.wire.StoredValueCodec;
@@ -144,6 +145,7 @@
         thread.executeAfter(FatalErrors.guard(this::logSummary), SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         workers.closeIdle();
         LOG.info("since the start: {}; connections to {} workers", controller.countersSummary(), workers.size());
+        LOG.info("the stored jobs take about {} of {} bytes", controller.jobMemoryBytes(), JobMemory.MAX_BYTES);
         requests.logLatencies(LOG);
     }
 }
--- a/src/test/java/dewlane/StoredJobsReader.java
+++ b/src/test/java/dewlane/StoredJobsReader.java
@@ -2,6 +2,7 @@
 
 import dewlane.core.config.TestSettings;
 import dewlane.core.controller.Controller;
+import dewlane.core.job.JobMemory;
 import dewlane.core.message.Input;
 import dewlane.wire.StoredValueCodec;
 import java.io.IOException;
@@ -9,12 +10,15 @@
 
 /**
  * A process in which a controller's core lists the store twice, as it does after a start and whenever its watch falls
- * behind.
+ * behind, and compares the estimate of the memory that the jobs take with the memory in use.
  */
 final class StoredJobsReader {
-    /** The exit code if all jobs were read. */
+    /** The exit code if all jobs were read, and take no more memory than estimated. */
     static final int READ_BACK = 0;
+    /** The exit code if, moreover, no further job would be accepted. */
+    static final int READ_BACK_BEYOND_LIMIT = 11;
 
+    private static final int UNDERESTIMATED = 10;
     private static final int PAGE_JOBS = 200;
     private static final long TICK_MS = 1100;
 
@@ -35,9 +39,13 @@
         for (int listing = 0; listing < 2; listing++) {
             reader.list(reader.jobs.end());
         }
+        reader.handle(new Input.Tick());
+        long bytes = usedBytes() - emptyBytes;
+        long estimate = reader.controller.jobMemoryBytes();
         System.out.println(String.join(" ", arguments) + ": " + (reader.jobs.end() - reader.jobs.begin())
-                + " jobs take " + (usedBytes() - emptyBytes) + " bytes");
-        System.exit(READ_BACK);
+                + " jobs take " + bytes + " bytes, estimated " + estimate + " of " + JobMemory.MAX_BYTES);
+        int readBack = estimate > JobMemory.MAX_BYTES ? READ_BACK_BEYOND_LIMIT : READ_BACK;
+        System.exit(bytes <= estimate ? readBack : UNDERESTIMATED);
     }
 
     private void list(int end) throws IOException {
