The bodies that arrive from users take at most 8 MiB together

Cause: a body takes its whole length once its header has arrived, and nothing bounded the sum, nor the time in which a body has to arrive.

Change: BodyBudget reserves a body's length while it arrives. Beyond 8 MiB the answer is 503 with Retry-After, logged and counted; a connection whose body has not arrived within 5 s is closed. Requests without a body, workers and peers are not affected.

--- a/src/main/java/dewlane/io/ControllerServer.java
+++ b/src/main/java/dewlane/io/ControllerServer.java
@@ -29,6 +29,10 @@
     private static final int MAX_POOLED_BUFFERS = 200;
     private static final int IDLE_CONNECTION_TIMEOUT_MS = 120_000;
     private static final int REQUEST_HEADER_TIMEOUT_MS = 10_000;
+    /** The sum of the bodies that may arrive from users at the same time: 128 of the largest size. */
+    private static final int MAX_ARRIVING_BYTES = 128 * HttpExchanges.MAX_BODY_BYTES;
+    /** Users wait 5 s for an answer. */
+    private static final long BODY_TIMEOUT_MS = 5000;
 
     private final Settings settings;
     private final NetworkSettings network;
@@ -38,6 +42,7 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers = new ExitingBufferPool(BUFFER_BYTES, MAX_POOLED_BUFFERS);
     private final PendingRequests requests = new PendingRequests();
+    private final BodyBudget userBodies = new BodyBudget(MAX_ARRIVING_BYTES, BODY_TIMEOUT_MS);
     private final WorkerConnectionPools workers;
     private final EffectDispatcher effects;
     private Undertow server;
@@ -100,7 +105,7 @@
 
     private HttpHandler serviceEndpoint() {
         return new ServiceEndpoint(
-                new UserEndpoint(requests, loop::accept),
+                new UserEndpoint(requests, userBodies, loop::accept),
                 new HeartbeatEndpoint(requests, loop::accept, this::mayKeepConnections),
                 controller::isHealthy);
     }
@@ -145,7 +150,11 @@
         thread.executeAfter(FatalErrors.guard(this::logSummary), SUMMARY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         workers.closeIdle();
         LOG.info("since the start: {}; connections to {} workers", controller.countersSummary(), workers.size());
-        LOG.info("the stored jobs take about {} of {} bytes", controller.jobMemoryBytes(), JobMemory.MAX_BYTES);
+        LOG.info(
+                "the stored jobs take about {} of {} bytes; {} bodies of users' requests refused",
+                controller.jobMemoryBytes(),
+                JobMemory.MAX_BYTES,
+                userBodies.refusedRequests());
         requests.logLatencies(LOG);
     }
 }
--- a/src/main/java/dewlane/io/ServiceEndpoint.java
+++ b/src/main/java/dewlane/io/ServiceEndpoint.java
@@ -31,7 +31,7 @@
             HttpExchanges.requireMethod(
                     exchange, Methods.POST, () -> HttpExchanges.readBody(exchange, heartbeats::receive));
         } else if (path.equals(UserProtocol.JOBS_PATH)) {
-            HttpExchanges.requireMethod(exchange, Methods.POST, () -> HttpExchanges.readBody(exchange, users::submit));
+            HttpExchanges.requireMethod(exchange, Methods.POST, () -> users.submit(exchange));
         } else if (path.startsWith(UserProtocol.JOBS_PATH + "/")) {
             users.handleJob(exchange, path.substring(UserProtocol.JOBS_PATH.length() + 1));
         } else {
--- a/src/main/java/dewlane/io/UserEndpoint.java
+++ b/src/main/java/dewlane/io/UserEndpoint.java
@@ -13,15 +13,21 @@
 /** Serves the users' protocol over HTTP: submissions, status queries and cancellations. */
 final class UserEndpoint {
     private final PendingRequests requests;
+    private final BodyBudget bodies;
     private final Consumer<Input> core;
 
-    UserEndpoint(PendingRequests requests, Consumer<Input> core) {
+    UserEndpoint(PendingRequests requests, BodyBudget bodies, Consumer<Input> core) {
         this.requests = requests;
+        this.bodies = bodies;
         this.core = core;
     }
 
-    /** Passes a submission to the core. */
-    void submit(HttpServerExchange exchange, byte[] body) {
+    /** Reads a submission and passes it to the core. */
+    void submit(HttpServerExchange exchange) {
+        bodies.readBody(exchange, this::submit);
+    }
+
+    private void submit(HttpServerExchange exchange, byte[] body) {
         UserProtocol.Submission submission = UserProtocol.parseSubmission(body);
         forward(
                 exchange,
@@ -42,7 +48,7 @@
         } else if (!UserProtocol.isJobId(job)) {
             HttpExchanges.sendError(exchange, StatusCodes.NOT_FOUND, "no such job");
         } else if (cancel) {
-            HttpExchanges.readBody(
+            bodies.readBody(
                     exchange,
                     (received, body) ->
                             forward(received, PendingRequests.Kind.CHANGE, id -> new Input.CancelJob(id, job)));
