The history of commands about tasks that are gone is bounded

Need: a machine's CommandHistory kept an entry for each attempt that it was ever sent a command about, some 100 bytes each, until the worker's next incarnation or the machine's next owner: memory that grows with the tasks that users submit.

Change: with each report, once there are more than 256 entries of a kind, commands older than 60 s (no caller asks beyond 2 s) and attempts that the worker no longer reports are removed.

--- a/src/main/java/dewlane/core/fleet/CommandHistory.java
+++ b/src/main/java/dewlane/core/fleet/CommandHistory.java
@@ -13,6 +13,11 @@
  * and the latest heartbeat, and would only be sent again.
  */
 public final class CommandHistory {
+    /** The number of attempts above which those are removed whose history has no effect any more. */
+    static final int MAX_OUTDATED_ATTEMPTS = 256;
+    /** The time after which it makes no difference that a command was sent; longer than callers ask for. */
+    private static final long COMMAND_TTL_MS = 60_000;
+
     private final Object2LongOpenHashMap<AttemptId> lastCommandAtMs = new Object2LongOpenHashMap<>();
     /** The attempts to be preempted, with the grace period of each in seconds. */
     private final Map<AttemptId, Double> preemptions = new HashMap<>();
@@ -28,6 +33,27 @@
         lastCommandAtMs.put(id, nowMs);
     }
 
+    /**
+     * Called when the worker has reported its tasks. Removes the history of other attempts, and of commands that were
+     * sent long ago, once there is much of it. Otherwise it would grow with each task that runs on the machine.
+     */
+    public void onReported(Set<AttemptId> reported, long nowMs) {
+        if (lastCommandAtMs.size() > MAX_OUTDATED_ATTEMPTS) {
+            lastCommandAtMs.values().removeIf(sentAtMs -> nowMs - sentAtMs > COMMAND_TTL_MS);
+        }
+        if (absentSinceMs.size() > MAX_OUTDATED_ATTEMPTS) {
+            absentSinceMs.keySet().retainAll(reported);
+        }
+        if (unassigned.size() > MAX_OUTDATED_ATTEMPTS) {
+            unassigned.retainAll(reported);
+        }
+    }
+
+    /** Returns the number of entries about attempts. */
+    int size() {
+        return lastCommandAtMs.size() + preemptions.size() + absentSinceMs.size() + unassigned.size();
+    }
+
     /** Returns true if a command about the attempt was sent within the given time. */
     public boolean wasCommandedWithin(AttemptId id, long nowMs, long withinMs) {
         return lastCommandAtMs.containsKey(id) && nowMs - lastCommandAtMs.getLong(id) <= withinMs;
--- a/src/main/java/dewlane/core/worker/MachineStateUpdater.java
+++ b/src/main/java/dewlane/core/worker/MachineStateUpdater.java
@@ -41,6 +41,7 @@
         machine.setAddress(heartbeat.address());
         machine.describe(heartbeat.type(), heartbeat.zone(), heartbeat.spot());
         machine.worker().accept(heartbeat);
+        machine.commands().onReported(machine.worker().tasks().keySet(), context.nowMs());
         if (reachability.assess(machine, heartbeat, commandAnswer)) {
             updateLifecycle(machine, heartbeat);
         }
