The warm-up reads a listing with a job that depends on another

Need: the class archive lacked the classes that decode stored jobs and keep their dependencies, which a controller that starts over stored jobs loads one by one.

Change: the warm-up of the build parses a page of a listing and has the core load it.

--- a/src/main/java/dewlane/cli/WarmUp.java
+++ b/src/main/java/dewlane/cli/WarmUp.java
@@ -68,8 +68,8 @@
                 Settings.Tuning.defaults());
     }
 
-    private static Job job() {
-        return Job.builder("wk-1")
+    private static Job job(String id) {
+        return Job.builder(id)
                 .ownership(new JobOwnership("team", "class", Priority.HIGH))
                 .tasks(2)
                 .resources(new Resources(1, 0, 1))
@@ -82,7 +82,7 @@
     private static void runCore() throws IOException {
         Controller controller = new Controller(settings(), 1, value -> StoredValueCodec.encode(value).length);
         long nowMs = 0;
-        for (Input input : inputs(job())) {
+        for (Input input : inputs(job("wk-1"))) {
             nowMs += INPUT_INTERVAL_MS;
             for (Effect effect : controller.handle(nowMs, nowMs, input)) {
                 if (effect instanceof Effect.CommitTransaction commit) {
@@ -93,13 +93,29 @@
         StoreProtocol.parseEvents("{\"ledger\":1,\"log\":[]}".getBytes(StandardCharsets.US_ASCII));
     }
 
-    private static List<Input> inputs(Job job) {
+    /** Returns the rows of a page of a listing with a job that depends on another one, and with its slice. */
+    private static List<Input.StoreRow> listedRows(StoredValue slice) throws IOException {
+        Job waiting = job("wk-3").withDependencies(List.of("wk-2"));
+        StoredValue record =
+                new StoredValue.JobRecord(waiting, List.of(new StoredValue.SliceAssignment("self", 0, 2)), 0);
+        String rows = row(StoreKeys.job(waiting.id()), record) + "," + row(StoreKeys.slice(waiting.id(), 0), slice);
+        String page = "{\"ledger\":1,\"more\":true,\"rows\":[" + rows + "]}";
+        return StoreProtocol.parsePage(page.getBytes(StandardCharsets.US_ASCII)).rows();
+    }
+
+    private static String row(String key, StoredValue value) {
+        String json = new String(StoredValueCodec.encode(value), StandardCharsets.US_ASCII);
+        return "{\"key\":\"" + key + "\",\"value\":" + json + ",\"entry\":1}";
+    }
+
+    private static List<Input> inputs(Job job) throws IOException {
         StoredValue map = new StoredValue.PartitionMap(1, List.of(new StoredValue.Member("self", 1)), Map.of());
         StoredValue slice =
                 new StoredValue.Slice("self", 0, 2, 0, new BitSet(), List.of(new Attempt(1, 1, "m", 1, 1, 1)));
         return List.of(
                 new Input.Tick(),
                 new Input.LeaseGranted(1),
+                new Input.StorePageListed(listedRows(slice)),
                 new Input.StoreListed(List.of(), 1, 1),
                 new Input.MachineTypesListed(List.of(new MachineType(TYPE, 4, 0, 8, 10, 1, 1, 1, 30, List.of("zone")))),
                 new Input.Tick(),
