A repeated submission of an ended job is answered also while memory is full

Cause: a refusal for memory was answered at once, so the user of a job that had been accepted and has ended, whose first answer was lost, got 503 as long as the memory was full.

Change: the job is looked up first, as for a job that does not fit into a value, and refused only if no result is stored.

Evidence: JobMemoryLimitTest.repeatOfEndedJobIsAnsweredWithoutRoom; found by reading, with the refusal as it was the test gets no lookup to answer. In submissionWithoutRoomIsRefused... the refusal comes after the lookup now; what it requires is unchanged.

--- a/src/main/java/dewlane/core/admission/SubmissionHandler.java
+++ b/src/main/java/dewlane/core/admission/SubmissionHandler.java
@@ -156,9 +156,10 @@
             responses.tooManySubmissions(request.id());
         }
 
+        /** Refuses the job, unless it was accepted earlier and has ended since. */
         @Override
         public void onMemoryExceeded() {
-            responses.tooManyStoredJobs(request.id());
+            statuses.answer(request.id(), request.jobId(), () -> responses.tooManyStoredJobs(request.id()));
         }
 
         /** Answers with the state of the job, which was accepted before, maybe by an earlier copy of this request. */
--- a/src/test/java/dewlane/core/controller/JobMemoryLimitTest.java
+++ b/src/test/java/dewlane/core/controller/JobMemoryLimitTest.java
@@ -10,12 +10,14 @@
 import dewlane.core.model.Job;
 import dewlane.core.model.JobBuilder;
 import dewlane.core.schema.StoreKeys;
+import dewlane.core.schema.StoredValue;
 import dewlane.core.schema.StoredValue.JobRecord;
 import dewlane.core.schema.StoredValue.JobResult;
 import dewlane.core.schema.Transaction;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** Tests that submissions are refused, and everything else goes on, while the stored jobs take all their memory. */
@@ -42,6 +44,22 @@
         effects.clear();
     }
 
+    /** Has the store answer the reads of its revision and of the result of the submitted job. */
+    private Effect.AnswerUser answerAfterLookup(Optional<StoredValue> result) {
+        receive(10, new Input.RevisionRead(revision));
+        Effect.ReadValue read = effects.stream()
+                .filter(Effect.ReadValue.class::isInstance)
+                .map(Effect.ReadValue.class::cast)
+                .findFirst()
+                .orElseThrow();
+        receive(10, new Input.ValueRead(read.id(), result));
+        return effects.stream()
+                .filter(Effect.AnswerUser.class::isInstance)
+                .map(Effect.AnswerUser.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
     private List<Effect.AnswerUser> submit(long request, String id) {
         receive(10, new Input.SubmitJob(request, id, job(id, 1, 1), null));
         return effects.stream()
@@ -54,10 +72,10 @@
     @Test
     void submissionWithoutRoomIsRefusedBeforeAnythingIsWritten() {
         exceedMemory();
-        List<Effect.AnswerUser> answers = submit(1, "wk-5");
-        assertEquals(1, answers.size());
-        assertEquals(503, answers.get(0).status());
-        assertTrue(answers.get(0).retryAfterS() > 1);
+        assertEquals(List.of(), submit(1, "wk-5"));
+        Effect.AnswerUser answer = answerAfterLookup(Optional.empty());
+        assertEquals(503, answer.status());
+        assertTrue(answer.retryAfterS() > 1);
         List<Effect.Log> log = effects.stream()
                 .filter(Effect.Log.class::isInstance)
                 .map(Effect.Log.class::cast)
@@ -68,6 +86,16 @@
         assertTrue(controller.countersSummary().contains(label + " 1"));
     }
 
+    /** Guards against a user who never learns that the job was accepted and has ended, as the first answer was lost. */
+    @Test
+    void repeatOfEndedJobIsAnsweredWithoutRoom() {
+        exceedMemory();
+        assertEquals(List.of(), submit(1, "wk-5"));
+        Effect.AnswerUser answer = answerAfterLookup(Optional.of(new JobResult(false, 1)));
+        assertEquals(200, answer.status());
+        assertEquals(Effect.JobCondition.DONE, answer.job().condition());
+    }
+
     /** Guards against a full memory that blocks the requests and reports by which jobs end. */
     @Test
     void queriesCancellationsRepeatsAndHeartbeatsGoOnWithoutRoom() {
@@ -95,7 +123,8 @@
     @Test
     void submissionsAreAcceptedAgainOnceJobsHaveEnded() {
         exceedMemory();
-        assertEquals(503, submit(1, "wk-5").get(0).status());
+        assertEquals(List.of(), submit(1, "wk-5"));
+        assertEquals(503, answerAfterLookup(Optional.empty()).status());
         for (int i = 0; i < LARGE_JOBS / 2; i++) {
             applyChange(StoreKeys.job(largeJob(i).id()), null);
         }
