--- a/src/main/java/dewlane/core/job/JobMemory.java
+++ b/src/main/java/dewlane/core/job/JobMemory.java
@@ -65,7 +65,7 @@
         this.counters = counters;
     }
 
-    /** Recounts the jobs in the replica. Called about once a second, and so often after an admitted job was written. */
+    /** Recounts the jobs in the replica. Called about once a second. */
     public void recount() {
         long bytes = 0;
         int records = 0;
@@ -84,7 +84,7 @@
         admittedSinceCountBytes = 0;
     }
 
-    /** Returns the estimate for a new job without dependencies that no controller knows. */
+    /** Returns the estimate for a new job. The jobs that it depends on are counted already. */
     private static long newJobBytes(JobRecord record) {
         return recordBytes(record)
                 + (long) BYTES_PER_SLICE * Math.max(1, record.assignments().size());
--- a/src/test/java/dewlane/io/BodyBudgetTest.java
+++ b/src/test/java/dewlane/io/BodyBudgetTest.java
@@ -86,7 +86,7 @@
     @Test
     void bodyBeyondBudgetIsRefusedUntilOthersHaveArrived() throws IOException {
         start(LONG_TIMEOUT_MS);
-        Socket unfinished = send("Content-Length: " + HttpExchanges.MAX_BODY_BYTES, "{");
+        Socket unfinished = send(LARGE, "{");
         for (int i = 1; i < MAX_BODIES; i++) {
             send(i % 2 == 0 ? LARGE : CHUNKED, "");
         }
